--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -28,6 +28,7 @@
 constexpr double kBodyShare = 0.25;  // of the memory, for clients' bodies
 constexpr std::size_t kCopies = 2;   // of a body while it is read
 constexpr std::chrono::milliseconds kSweep{50};
+constexpr std::chrono::milliseconds kFresh{500};  // while drained, for a new connection to say something
 constexpr double kRoomy = 0.4;  // of the connections, up to which those that stand idle are kept
 constexpr const char* kText = "text/plain";
 
@@ -248,7 +249,7 @@
   void Write(HttpResponse response) {
     Enter(State::kWriting, patience().answer_taken);
     response_ = std::move(response);
-    last_ |= owner_->stopping_;
+    last_ |= owner_->stopping_ || owner_->drained_;
     response_.keep_alive(!last_);
     response_.prepare_payload();
     Error ignored;
@@ -382,7 +383,9 @@
     const auto mark = static_cast<std::size_t>(static_cast<double>(most_connections_) * kRoomy);
     for (auto it = sessions_.begin(); it != sessions_.end();) {
       const auto session = *it++;
-      if (sessions_.size() > mark && session->SpareSince(now - config_.patience.spare)) {
+      if (drained_ && (session->SpareSince(now) || session->SilentSince(now - kFresh))) {
+        session->Close();
+      } else if (sessions_.size() > mark && session->SpareSince(now - config_.patience.spare)) {
         session->Close();
       } else {
         session->EndIfDue(now);
@@ -408,6 +411,16 @@
   });
 }
 
+void Clients::Drain(bool drained) {
+  drained_ = drained;
+  if (!drained) return;
+  const auto now = Steady::now();
+  for (auto it = sessions_.begin(); it != sessions_.end();) {
+    const auto session = *it++;
+    if (session->SpareSince(now)) session->Close();
+  }
+}
+
 // Looks again until no answer is owed and no request is half read.
 void Clients::Shut() {
   if (!std::exchange(shut_, true)) {
--- a/src/proxy/clients.h
+++ b/src/proxy/clients.h
@@ -56,6 +56,10 @@
   // nothing is accepted any more, and `done` is called when no connection is left.
   void Stop(Duration grace, std::function<void()> done);
 
+  // While drained, connections that stand idle are closed, and the others after their next answer; new ones
+  // are served all the same.
+  void Drain(bool drained);
+
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
   std::size_t connections() const { return sessions_.size(); }
 
@@ -78,7 +82,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_, grace_, sweep_;
   std::list<std::shared_ptr<Session>> sessions_;  // in the order of their last change of state
-  bool waiting_for_room_ = false, stopping_ = false, shut_ = false;
+  bool waiting_for_room_ = false, stopping_ = false, shut_ = false, drained_ = false;
   std::function<void()> stopped_;
   Steady::time_point half_read_until_{};
 };
--- a/src/proxy/config.cpp
+++ b/src/proxy/config.cpp
@@ -77,6 +77,10 @@
   config.name = name && *name ? name : root.value("name", "");
   config.listen = Address(env("ROUTER_LISTEN"), root, "listen");
   config.discovery = Address(env("ROUTER_DISCOVERY"), root, "discovery");
+  const char* operator_address = env("ROUTER_OPERATOR");
+  if ((operator_address && *operator_address) || root.contains("operator"))
+    config.operator_address = Address(operator_address, root, "operator");
+  if (const char* folder = env("TMPDIR"); folder && *folder) config.state_folder = folder;
   config.seed = SeedOf(root);
   if (const auto limits = root.find("limits"); limits != root.end()) {
     config.sockets = limits->value("sockets", config.sockets);
--- a/src/proxy/config.h
+++ b/src/proxy/config.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -41,6 +42,8 @@
 struct Config {
   std::string name;
   boost::asio::ip::tcp::endpoint listen, discovery;
+  std::optional<boost::asio::ip::tcp::endpoint> operator_address;  // where staff call, if anywhere
+  std::string state_folder;  // private to this proxy's processes; empty: nothing is kept
   std::uint64_t seed = 0;
   int sockets = 1024;       // descriptors that the process may hold
   double memory_mb = 2048;  // memory that it may use
--- /dev/null
+++ b/src/proxy/disabled.h
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The backends that staff have taken out by hand. Discovery's list passes through here and comes out with
+// these as draining, whatever discovery says of them. The set outlives this process in a file that a second
+// process of the same proxy reads and writes too.
+#ifndef BRACKENSPOKE_PROXY_DISABLED_H_
+#define BRACKENSPOKE_PROXY_DISABLED_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "members.h"
+
+namespace brackenspoke::proxy {
+
+class DisabledBackends {
+ public:
+  enum class Verdict { kDone, kUnknown, kNotKept };
+  using Note = std::function<void(const std::string&)>;
+
+  // `file` keeps the set; empty: it lasts as long as this process.
+  DisabledBackends(std::string file, Note note);
+
+  // What the rest of the proxy is to see of a list; a whole one names everything there is.
+  MemberList Pass(MemberList list, bool whole);
+
+  // `changes` gets what the rest of the proxy is to see otherwise from now on. Either may come twice. Unless
+  // kDone, nothing has changed.
+  Verdict Disable(const std::string& id, MemberList* changes);
+  Verdict Enable(const std::string& id, MemberList* changes);
+
+  // What another process has changed since.
+  MemberList Reread();
+
+  const std::set<std::string>& ids() const { return ids_; }
+
+ private:
+  Verdict Change(const std::string& id, bool out, MemberList* changes);
+  std::optional<std::set<std::string>> Load();
+  bool Store(const std::set<std::string>& ids);
+  MemberList Take(std::set<std::string> ids, std::string_view who);
+
+  const std::string file_;
+  Note note_;
+  std::set<std::string> ids_;
+  std::map<std::string, Member> listed_;  // as discovery has it
+  std::uint64_t revision_ = 0;
+  std::string seen_;  // which version of the file was read last
+};
+
+}  // namespace brackenspoke::proxy
+
+#endif  // BRACKENSPOKE_PROXY_DISABLED_H_
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -2,6 +2,7 @@
 #include "proxy.h"
 
 #include <algorithm>
+#include <cctype>
 #include <cstdio>
 #include <unordered_set>
 #include <utility>
@@ -13,19 +14,37 @@
 // watches of discovery, a connection being accepted), and the clients' part of the rest. Of the clients',
 // those with a request open are a half; the others have to make room when they stand idle.
 constexpr int kOtherDescriptors = 24;
+constexpr int kOperatorDescriptors = static_cast<int>(Operator::kMostConnections) + 2;
 constexpr double kClientShare = 0.6;
 constexpr TimePoint kUnarmed{Duration(1e300)};
 constexpr Duration kLocalRest{1000};  // for clients turned away for want of descriptors
 constexpr Duration kStopGrace{600};   // connections go on coming for up to 400 ms after SIGTERM
 
+constexpr std::chrono::milliseconds kLookForDisabled{100};
+
+double PeerDescriptors(const Config& config) {
+  return config.sockets - kOtherDescriptors - (config.operator_address ? kOperatorDescriptors : 0);
+}
+
 Backends::Limits BackendLimits(const Config& config) {
-  const double rest = config.sockets - kOtherDescriptors;
-  return {config.connect_timeout, config.conn_idle, static_cast<std::size_t>(rest * (1 - kClientShare)),
-          config.patience};
+  return {config.connect_timeout, config.conn_idle,
+          static_cast<std::size_t>(PeerDescriptors(config) * (1 - kClientShare)), config.patience};
 }
 
 std::size_t ClientLimit(const Config& config) {
-  return static_cast<std::size_t>((config.sockets - kOtherDescriptors) * kClientShare);
+  return static_cast<std::size_t>(PeerDescriptors(config) * kClientShare);
+}
+
+void Note(const std::string& text) { std::fprintf(stderr, "%s\n", text.c_str()); }
+
+// One folder may serve proxies of several names.
+std::string StateFile(const Config& config, const char* what) {
+  if (config.state_folder.empty()) return "";
+  std::string name = config.name;
+  std::replace_if(
+      name.begin(), name.end(), [](unsigned char c) { return !std::isalnum(c) && c != '-' && c != '_'; },
+      '_');
+  return config.state_folder + "/copperpoint-" + name + "-" + what;
 }
 
 Discovery::Options DiscoveryOptions(const Config& config) {
@@ -43,8 +62,11 @@
 Proxy::Proxy(boost::asio::io_context& io, Config config)
     : config_(std::move(config)),
       balancer_(config_.settings, config_.seed),
+      lifecycle_(Note),
+      disabled_(StateFile(config_, "disabled.json"), Note),
       armed_for_(kUnarmed),
-      timer_(io) {
+      timer_(io),
+      look_(io) {
   backends_ = std::make_unique<Backends>(io, BackendLimits(config_));
   discovery_ = std::make_unique<Discovery>(
       io, DiscoveryOptions(config_),
@@ -53,16 +75,65 @@
         Feed(ListUpdate{ListKind::kFailed, {}});
       });
   OnList(config_.known, ListKind::kCached);
-  listed_ = !config_.known.members.empty();
+  if (!config_.known.members.empty()) lifecycle_.Started();
   if (!config_.settings.must_ask_for_list) discovery_->Watch();
   clients_ = std::make_unique<Clients>(io, config_, ClientLimit(config_), *this);
+  if (config_.operator_address) {
+    operator_ = std::make_unique<Operator>(io, *config_.operator_address, *this);
+    if (!config_.state_folder.empty()) WatchDisabled();
+  }
 }
 
 Proxy::~Proxy() = default;
 
 void Proxy::Reload(const Config& config) { discovery_->Move(config.discovery); }
 
-void Proxy::Stop(std::function<void()> done) { clients_->Stop(kStopGrace, std::move(done)); }
+void Proxy::Stop(std::function<void()> done) {
+  lifecycle_.Stop();
+  clients_->Stop(kStopGrace, std::move(done));
+}
+
+OperatorCalls::Verdict Proxy::Disable(const std::string& backend) {
+  MemberList changes;
+  const auto verdict = disabled_.Disable(backend, &changes);
+  return Carried(verdict, changes);
+}
+
+OperatorCalls::Verdict Proxy::Enable(const std::string& backend) {
+  MemberList changes;
+  const auto verdict = disabled_.Enable(backend, &changes);
+  return Carried(verdict, changes);
+}
+
+OperatorCalls::Verdict Proxy::Carried(DisabledBackends::Verdict verdict, const MemberList& changes) {
+  if (verdict == DisabledBackends::Verdict::kUnknown) return Verdict::kUnknownBackend;
+  if (verdict == DisabledBackends::Verdict::kNotKept) return Verdict::kNotKept;
+  if (!changes.members.empty()) PassOn(changes, ListKind::kDelta);
+  return Verdict::kDone;
+}
+
+OperatorCalls::Verdict Proxy::Drain() {
+  if (!lifecycle_.Drain()) return Verdict::kStopping;
+  clients_->Drain(true);
+  return Verdict::kDone;
+}
+
+OperatorCalls::Verdict Proxy::Undrain() {
+  if (!lifecycle_.Undrain()) return Verdict::kStopping;
+  clients_->Drain(false);
+  return Verdict::kDone;
+}
+
+// Another process of this proxy may be told to take a backend out, or to put it back.
+void Proxy::WatchDisabled() {
+  look_.expires_after(kLookForDisabled);
+  look_.async_wait([this](const boost::system::error_code& cancelled) {
+    if (cancelled) return;
+    WatchDisabled();
+    const MemberList changes = disabled_.Reread();
+    if (!changes.members.empty()) PassOn(changes, ListKind::kDelta);
+  });
+}
 
 // The only caller of Handle. An action may bring about an event at once: it waits its turn here, so that
 // Handle is never entered while its actions are being carried out.
@@ -102,6 +173,11 @@
 }
 
 void Proxy::OnList(const MemberList& list, ListKind kind) {
+  PassOn(disabled_.Pass(list, kind != ListKind::kDelta), kind);
+  if (clients_ && !list.members.empty()) lifecycle_.Started();
+}
+
+void Proxy::PassOn(const MemberList& list, ListKind kind) {
   numbers_.Learn(list.members);
   if (kind != ListKind::kDelta) {
     std::unordered_set<ServerId> named;
@@ -127,7 +203,6 @@
       backends_->Retire(entry.server);
     }
   }
-  listed_ |= !list.members.empty();
   std::unordered_set<std::string_view> here;
   for (const Member& m : list.members) {
     if (m.state == ServerState::kGone) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -22,12 +22,15 @@
 #include "clients.h"
 #include "clock.h"
 #include "config.h"
+#include "disabled.h"
 #include "discovery.h"
+#include "lifecycle.h"
 #include "members.h"
+#include "operator.h"
 
 namespace brackenspoke::proxy {
 
-class Proxy : public RequestHandler {
+class Proxy : public RequestHandler, public OperatorCalls {
  public:
   // Listens, and watches discovery, from here on.
   Proxy(boost::asio::io_context& io, Config config);
@@ -43,9 +46,17 @@
   RequestId OnRequest(ClientRequest request, std::shared_ptr<Responder> responder) override;
   void OnClientGone(RequestId request) override;
   bool IsOpen(std::string_view id) const override { return open_ids_.contains(std::string(id)); }
-  bool Ready() const override { return listed_; }
+  bool Ready() const override { return lifecycle_.Ready(); }
+
+  std::string StateName() const override { return NameOf(lifecycle_.state()); }
+  Verdict Disable(const std::string& backend) override;
+  Verdict Enable(const std::string& backend) override;
+  Verdict Drain() override;
+  Verdict Undrain() override;
 
   boost::asio::ip::tcp::endpoint address() const { return clients_->address(); }
+  boost::asio::ip::tcp::endpoint operator_address() const { return operator_->address(); }
+  std::size_t client_connections() const { return clients_->connections(); }
   std::size_t backend_connections() const { return backends_->connections(); }
   std::uint64_t last_revision() const { return discovery_->revision(); }
   std::size_t backends_known() const { return backends_->known(); }
@@ -64,6 +75,9 @@
   void Feed(Event event);
   void HandleQueued();
   void OnList(const MemberList& list, ListKind kind);
+  void PassOn(const MemberList& list, ListKind kind);
+  Verdict Carried(DisabledBackends::Verdict verdict, const MemberList& changes);
+  void WatchDisabled();
   void ForgetLongGone();
   int ZoneOf(const std::string& name) const;
 
@@ -91,13 +105,15 @@
   RequestId last_request_ = 0;
   std::deque<Event> events_;
   bool handling_ = false;
-  bool listed_ = false;
+  Lifecycle lifecycle_;
+  DisabledBackends disabled_;
   std::multimap<TimePoint, std::uint64_t> timers_;
   TimePoint armed_for_;
-  boost::asio::steady_timer timer_;
+  boost::asio::steady_timer timer_, look_;
   std::unique_ptr<Backends> backends_;
   std::unique_ptr<Clients> clients_;
   std::unique_ptr<Discovery> discovery_;
+  std::unique_ptr<Operator> operator_;
 };
 
 }  // namespace brackenspoke::proxy
