--- a/include/brackenspoke/balancer.h
+++ b/include/brackenspoke/balancer.h
@@ -118,7 +118,18 @@
 struct TimerFired {
   std::uint64_t token = 0;
 };
-using Event = std::variant<ListUpdate, Submit, StreamStarted, AttemptEnded, ClientGone, TimerFired>;
+// What one process has learnt of a server, for the next one of the same proxy.
+struct Learnt {
+  ServerId server = 0;
+  int multiplier = 0;
+  Duration ejected_for{0};  // from now on; 0: in service
+  double cold_work = 0;     // sent to it within the rule's window, where it is cold
+};
+struct Inherited {
+  std::vector<Learnt> servers;
+};
+using Event =
+    std::variant<ListUpdate, Submit, StreamStarted, AttemptEnded, ClientGone, TimerFired, Inherited>;
 
 // ---- actions ------------------------------------------------------------------------------------------
 struct Dispatch {
@@ -157,6 +168,9 @@
   // the content of an event.
   void Handle(TimePoint now, const Event& event, std::vector<Action>* actions);
 
+  // What a next process should know: its Inherited.
+  std::vector<Learnt> Learned(TimePoint now);
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -192,6 +192,18 @@
     out_ = nullptr;
   }
 
+  std::vector<Learnt> Learned(TimePoint now) {
+    std::vector<Learnt> all;
+    for (Server& s : servers_) {
+      if (s.entry.state == ServerState::kGone) continue;
+      Learnt learnt{s.entry.server, s.health.multiplier, Duration(0),
+                    s.sent.Within(now, settings_.overload_for * kWindowSlack)};
+      if (s.health.ejected) learnt.ejected_for = std::max(Duration(0), s.health.return_at - now);
+      if (learnt.multiplier > 0 || learnt.cold_work > 0) all.push_back(learnt);
+    }
+    return all;
+  }
+
  private:
   // ---- 3. Pick ----------------------------------------------------------------------------------------
   bool Usable(const Server& s) const { return s.entry.state == ServerState::kReady; }
@@ -813,6 +825,25 @@
     }
   }
 
+  // A server that the process before has ejected stays so, until the time that was set.
+  void On(const Inherited& e) {
+    for (const Learnt& learnt : e.servers) {
+      const auto found = index_.find(learnt.server);
+      if (found == index_.end()) continue;
+      Server& s = servers_[found->second];
+      s.health.multiplier = std::max(s.health.multiplier, learnt.multiplier);
+      if (learnt.cold_work > 0) s.sent.Add(now_, learnt.cold_work);
+      if (s.health.ejected || !(learnt.ejected_for.count() > 0)) continue;
+      s.health.ejected = true;
+      s.health.return_at = now_ + std::min(learnt.ejected_for, std::max(kBaseEjectionTime, kMaxEjectionTime));
+      fleet_.ejected += Usable(s);
+      fleet_.failures -= s.health.failures;
+      fleet_.attempts -= s.health.attempts();
+      next_return_ = std::min(next_return_, s.health.return_at);
+    }
+    FleetChanged();
+  }
+
   void ReturnServers() {
     next_return_ = kNever;
     for (Server& s : servers_) {
@@ -924,4 +955,6 @@
   impl_->Handle(now, event, actions);
 }
 
+std::vector<Learnt> Balancer::Learned(TimePoint now) { return impl_->Learned(now); }
+
 }  // namespace brackenspoke
--- a/src/proxy/backends.h
+++ b/src/proxy/backends.h
@@ -56,6 +56,7 @@
   // once, never from within this call, and not after the destructor.
   void Send(ServerId server, std::shared_ptr<const HttpRequest> request, Duration timeout, AttemptDone done);
 
+  void SetLimit(std::size_t connections) { limits_.connections = connections; }
   std::size_t connections() const { return open_; }
   std::size_t opened() const { return opened_; }  // since the start
   std::size_t known() const { return backends_.size(); }
--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -22,14 +22,15 @@
 using Error = boost::system::error_code;
 
 constexpr std::size_t kMostHeader = 16 * 1024;
-constexpr std::chrono::milliseconds kPause{50};      // after a failed accept
-constexpr std::chrono::milliseconds kHalfRead{500};  // at the stop, for the rest of a request to come
+constexpr std::chrono::milliseconds kPause{50};       // after a failed accept
+constexpr std::chrono::milliseconds kHalfRead{1500};  // at the stop, for the rest of a request to come
 constexpr std::chrono::milliseconds kLookAgain{10};
 constexpr double kBodyShare = 0.25;  // of the memory, for clients' bodies
 constexpr std::size_t kCopies = 2;   // of a body while it is read
 constexpr std::chrono::milliseconds kSweep{50};
 constexpr std::chrono::milliseconds kFresh{500};  // while drained, for a new connection to say something
 constexpr double kRoomy = 0.4;  // of the connections, up to which those that stand idle are kept
+using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 constexpr const char* kText = "text/plain";
 
 }  // namespace
@@ -249,7 +250,7 @@
   void Write(HttpResponse response) {
     Enter(State::kWriting, patience().answer_taken);
     response_ = std::move(response);
-    last_ |= owner_->stopping_ || owner_->drained_;
+    last_ |= owner_->stopping_ || owner_->drained_ || owner_->handed_over_;
     response_.keep_alive(!last_);
     response_.prepare_payload();
     Error ignored;
@@ -296,7 +297,7 @@
 };
 
 Clients::Clients(asio::io_context& io, const Config& config, std::size_t most_connections,
-                 RequestHandler& handler)
+                 RequestHandler& handler, int listener)
     : io_(io),
       config_(config),
       most_connections_(most_connections),
@@ -306,10 +307,15 @@
       pause_(io),
       grace_(io),
       sweep_(io) {
-  acceptor_.open(config.listen.protocol());
-  acceptor_.set_option(Tcp::acceptor::reuse_address(true));  // restarts come on the same address
-  acceptor_.bind(config.listen);
-  acceptor_.listen();
+  if (listener >= 0) {
+    acceptor_.assign(config.listen.protocol(), listener);
+  } else {
+    acceptor_.open(config.listen.protocol());
+    acceptor_.set_option(Tcp::acceptor::reuse_address(true));  // restarts come on the same address
+    acceptor_.set_option(ReusePort(true));                     // and a next process may come beside this one
+    acceptor_.bind(config.listen);
+    acceptor_.listen();
+  }
   Accept();
 }
 
@@ -321,7 +327,7 @@
 
 void Clients::Accept() {
   waiting_for_room_ = false;
-  if (shut_) return;
+  if (shut_ || handed_over_) return;
   if (sessions_.size() >= most_connections_ && !MakeRoom()) {
     waiting_for_room_ = true;  // the next connections wait in the kernel's queue
     return;
@@ -330,15 +336,19 @@
     if (failed == asio::error::operation_aborted) return;
     // Guards against spinning when descriptors run out: the queue stays readable all the while.
     if (failed) return AcceptLater();
-    if (sessions_.empty()) Sweep();
-    sessions_.push_back(std::make_shared<Session>(*this, std::move(socket)));
-    const auto session = sessions_.back();
-    session->place = std::prev(sessions_.end());
-    session->Start();
+    Begin(std::move(socket));
     Accept();
   });
 }
 
+void Clients::Begin(Tcp::socket socket) {
+  if (sessions_.empty()) Sweep();
+  sessions_.push_back(std::make_shared<Session>(*this, std::move(socket)));
+  const auto session = sessions_.back();
+  session->place = std::prev(sessions_.end());
+  session->Start();
+}
+
 void Clients::AcceptLater() {
   MakeRoom();
   pause_.expires_after(kPause);
@@ -405,12 +415,47 @@
   if (stopping_) return;
   stopping_ = true;
   stopped_ = std::move(done);
+  if (handed_over_) CloseListener();  // the other process has it too: nothing that waits there is lost
   grace_.expires_after(std::chrono::ceil<Steady::duration>(grace));
   grace_.async_wait([this](const Error& cancelled) {
     if (!cancelled) Shut();
   });
 }
 
+// What waits in the queue would be reset with it.
+void Clients::CloseListener() {
+  if (!acceptor_.is_open()) return;
+  Error failed;
+  if (!handed_over_) {
+    acceptor_.non_blocking(true, failed);
+    while (!failed && sessions_.size() < most_connections_) {
+      Tcp::socket socket(io_);
+      acceptor_.accept(socket, failed);
+      if (!failed) Begin(std::move(socket));
+    }
+  }
+  acceptor_.close(failed);
+}
+
+std::optional<int> Clients::HandOver() {
+  if (!acceptor_.is_open() || shut_ || handed_over_) return std::nullopt;
+  handed_over_ = true;
+  Error ignored;
+  acceptor_.cancel(ignored);
+  pause_.cancel();
+  return acceptor_.native_handle();
+}
+
+void Clients::TakeBack() {
+  if (!std::exchange(handed_over_, false) || !acceptor_.is_open()) return;
+  if (!waiting_for_room_) Accept();
+}
+
+void Clients::SetLimit(std::size_t connections) {
+  most_connections_ = connections;
+  if (waiting_for_room_) Accept();
+}
+
 void Clients::Drain(bool drained) {
   drained_ = drained;
   if (!drained) return;
@@ -424,8 +469,7 @@
 // Looks again until no answer is owed and no request is half read.
 void Clients::Shut() {
   if (!std::exchange(shut_, true)) {
-    Error ignored;
-    acceptor_.close(ignored);
+    CloseListener();
     half_read_until_ = Steady::now() + kHalfRead;
   }
   bool wait = false;
--- a/src/proxy/clients.h
+++ b/src/proxy/clients.h
@@ -45,9 +45,9 @@
 
 class Clients {
  public:
-  // Listens at once; throws boost::system::system_error if it cannot.
+  // Listens at once, at `listener` if one was inherited; throws boost::system::system_error if it cannot.
   Clients(boost::asio::io_context& io, const Config& config, std::size_t most_connections,
-          RequestHandler& handler);
+          RequestHandler& handler, int listener = -1);
   ~Clients();
   Clients(const Clients&) = delete;
   Clients& operator=(const Clients&) = delete;
@@ -60,6 +60,13 @@
   // are served all the same.
   void Drain(bool drained);
 
+  // Another process accepts from now on, from the same queue; what is connected here is answered, and then
+  // sent there. Nothing if it is too late for that. The descriptor stays this one's.
+  std::optional<int> HandOver();
+  void TakeBack();  // the other process has gone
+
+  void SetLimit(std::size_t connections);
+
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
   std::size_t connections() const { return sessions_.size(); }
 
@@ -68,12 +75,14 @@
   friend class Session;
 
   void Accept();
+  void Begin(boost::asio::ip::tcp::socket socket);
   void AcceptLater();
   bool MakeRoom();
   bool Reserve(std::size_t bytes);
   void Sweep();
   void Remove(Session* session);
   void Shut();
+  void CloseListener();
 
   boost::asio::io_context& io_;
   const Config& config_;
@@ -82,7 +91,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_, grace_, sweep_;
   std::list<std::shared_ptr<Session>> sessions_;  // in the order of their last change of state
-  bool waiting_for_room_ = false, stopping_ = false, shut_ = false, drained_ = false;
+  bool waiting_for_room_ = false, stopping_ = false, shut_ = false, drained_ = false, handed_over_ = false;
   std::function<void()> stopped_;
   Steady::time_point half_read_until_{};
 };
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cctype>
 #include <cstdio>
+#include <nlohmann/json.hpp>
 #include <unordered_set>
 #include <utility>
 
@@ -21,10 +22,14 @@
 constexpr Duration kStopGrace{600};   // connections go on coming for up to 400 ms after SIGTERM
 
 constexpr std::chrono::milliseconds kLookForDisabled{100};
+// While another process serves: for discovery's first answer, and for the other process's.
+constexpr std::chrono::milliseconds kFreshList{1500}, kHandover{1000};
+constexpr int kLeastPeers = 32;  // descriptors for clients and backends, however many another process holds
 
-double PeerDescriptors(const Config& config) {
-  return config.sockets - kOtherDescriptors - (config.operator_address ? kOperatorDescriptors : 0);
+int OwnDescriptors(const Config& config) {
+  return kOtherDescriptors + (config.operator_address ? kOperatorDescriptors : 0);
 }
+double PeerDescriptors(const Config& config) { return config.sockets - OwnDescriptors(config); }
 
 Backends::Limits BackendLimits(const Config& config) {
   return {config.connect_timeout, config.conn_idle,
@@ -60,13 +65,15 @@
 }  // namespace
 
 Proxy::Proxy(boost::asio::io_context& io, Config config)
-    : config_(std::move(config)),
+    : io_(io),
+      config_(std::move(config)),
       balancer_(config_.settings, config_.seed),
       lifecycle_(Note),
       disabled_(StateFile(config_, "disabled.json"), Note),
       armed_for_(kUnarmed),
       timer_(io),
-      look_(io) {
+      look_(io),
+      fresh_list_(io) {
   backends_ = std::make_unique<Backends>(io, BackendLimits(config_));
   discovery_ = std::make_unique<Discovery>(
       io, DiscoveryOptions(config_),
@@ -75,13 +82,16 @@
         Feed(ListUpdate{ListKind::kFailed, {}});
       });
   OnList(config_.known, ListKind::kCached);
-  if (!config_.known.members.empty()) lifecycle_.Started();
   if (!config_.settings.must_ask_for_list) discovery_->Watch();
-  clients_ = std::make_unique<Clients>(io, config_, ClientLimit(config_), *this);
-  if (config_.operator_address) {
-    operator_ = std::make_unique<Operator>(io, *config_.operator_address, *this);
-    if (!config_.state_folder.empty()) WatchDisabled();
+  predecessor_ = HandoverClient::Connect(io, StateFile(config_, "handover.sock"));
+  if (predecessor_) {
+    Note("hand-over: another process serves; waiting for discovery's list first");
+    TakeOverAfter(kFreshList);
+  } else {
+    Serve(-1);
   }
+  if (config_.operator_address) operator_ = std::make_unique<Operator>(io, *config_.operator_address, *this);
+  if (!config_.state_folder.empty()) LookAfterState();
 }
 
 Proxy::~Proxy() = default;
@@ -90,6 +100,8 @@
 
 void Proxy::Stop(std::function<void()> done) {
   lifecycle_.Stop();
+  fresh_list_.cancel();
+  if (!clients_) return done();
   clients_->Stop(kStopGrace, std::move(done));
 }
 
@@ -114,27 +126,128 @@
 
 OperatorCalls::Verdict Proxy::Drain() {
   if (!lifecycle_.Drain()) return Verdict::kStopping;
-  clients_->Drain(true);
+  if (clients_) clients_->Drain(true);
   return Verdict::kDone;
 }
 
 OperatorCalls::Verdict Proxy::Undrain() {
   if (!lifecycle_.Undrain()) return Verdict::kStopping;
-  clients_->Drain(false);
+  if (clients_) clients_->Drain(false);
   return Verdict::kDone;
 }
 
 // Another process of this proxy may be told to take a backend out, or to put it back.
-void Proxy::WatchDisabled() {
+void Proxy::LookAfterState() {
   look_.expires_after(kLookForDisabled);
   look_.async_wait([this](const boost::system::error_code& cancelled) {
     if (cancelled) return;
-    WatchDisabled();
+    LookAfterState();
     const MemberList changes = disabled_.Reread();
     if (!changes.members.empty()) PassOn(changes, ListKind::kDelta);
+    if (successor_) successor_->Tell(nlohmann::json{{"descriptors", Descriptors()}}.dump());
+  });
+}
+
+int Proxy::Descriptors() const {
+  return static_cast<int>(clients_->connections() + backends_->connections()) + OwnDescriptors(config_);
+}
+
+void Proxy::Serve(int listener) {
+  clients_ = std::make_unique<Clients>(io_, config_, ClientLimit(config_), *this, listener);
+  if (lifecycle_.state() == Lifecycle::State::kDrained) clients_->Drain(true);
+  if (!config_.state_folder.empty()) {
+    successor_ = std::make_unique<HandoverServer>(
+        io_, StateFile(config_, "handover.sock"), config_.listen, [this] { return GiveOver(); },
+        [this] {
+          Note("hand-over: the next process has gone; this one serves on");
+          clients_->TakeBack();
+          backends_->SetLimit(BackendLimits(config_).connections);
+        });
+  }
+  if (listed_) lifecycle_.Started();
+}
+
+// Not before discovery's list is here, or would take too long: the one that this process was started with may
+// be old, and the other one serves in the meantime.
+void Proxy::TakeOverAfter(std::chrono::milliseconds wait) {
+  if (asked_for_listener_) return;
+  fresh_list_.expires_after(wait);
+  fresh_list_.async_wait([this](const boost::system::error_code& cancelled) {
+    if (!cancelled) TakeOver();
   });
 }
 
+void Proxy::TakeOver() {
+  if (std::exchange(asked_for_listener_, true) || lifecycle_.state() == Lifecycle::State::kStopping) return;
+  predecessor_->Take(
+      config_.listen, kHandover,
+      [this](std::optional<Gift> gift) {
+        if (lifecycle_.state() == Lifecycle::State::kStopping) return;
+        Note(gift ? "hand-over: the clients' listener is this process's now"
+                  : "hand-over: no answer from the other process; listening beside it");
+        Serve(gift ? gift->listener : -1);
+        if (gift) OnGift(gift->text);
+      },
+      [this](const std::string& text) {
+        const auto json = nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
+        if (const auto n = json.is_object() ? json.find("descriptors") : json.end();
+            json.is_object() && n != json.end() && n->is_number_integer())
+          LeaveTo(n->get<int>());
+      },
+      [this] {
+        Note("hand-over: the process before has gone");
+        LeaveTo(0);
+      });
+}
+
+// Both processes together hold no more descriptors than one may.
+void Proxy::LeaveTo(int other_descriptors) {
+  const double rest =
+      std::max<double>(kLeastPeers, PeerDescriptors(config_) - std::max(0, other_descriptors));
+  clients_->SetLimit(static_cast<std::size_t>(rest * kClientShare));
+  backends_->SetLimit(static_cast<std::size_t>(rest * (1 - kClientShare)));
+}
+
+std::optional<Gift> Proxy::GiveOver() {
+  const auto listener = clients_->HandOver();
+  if (!listener) return std::nullopt;
+  Note("hand-over: the next process takes the clients' listener");
+  backends_->SetLimit(std::max<std::size_t>(backends_->connections(), 1));
+  return Gift{*listener, LearntText()};
+}
+
+std::string Proxy::LearntText() {
+  nlohmann::json learnt = nlohmann::json::array();
+  std::unordered_map<ServerId, std::string> names;
+  for (const auto& [id, number] : numbers_.all()) names.emplace(number, id);
+  for (const Learnt& of : balancer_.Learned(clock_.Now())) {
+    learnt.push_back({{"id", names[of.server]},
+                      {"multiplier", of.multiplier},
+                      {"ejected_ms", of.ejected_for.count()},
+                      {"cold_work", of.cold_work}});
+  }
+  return nlohmann::json{{"descriptors", Descriptors()}, {"learnt", learnt}}.dump();
+}
+
+// Believed as far as it fits: without it, this process learns for itself.
+void Proxy::OnGift(const std::string& text) {
+  const auto json = nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
+  Inherited inherited;
+  try {
+    LeaveTo(json.at("descriptors").get<int>());
+    for (const auto& entry : json.at("learnt")) {
+      const auto number = numbers_.all().find(entry.at("id").get<std::string>());
+      if (number == numbers_.all().end()) continue;
+      inherited.servers.push_back({number->second, std::clamp(entry.at("multiplier").get<int>(), 0, 100),
+                                   Duration(entry.at("ejected_ms").get<double>()),
+                                   std::max(0.0, entry.at("cold_work").get<double>())});
+    }
+  } catch (const nlohmann::json::exception& error) {
+    Note(std::string("hand-over: what the process before has learnt cannot be read: ") + error.what());
+  }
+  if (!inherited.servers.empty()) Feed(std::move(inherited));
+}
+
 // The only caller of Handle. An action may bring about an event at once: it waits its turn here, so that
 // Handle is never entered while its actions are being carried out.
 void Proxy::Feed(Event event) {
@@ -174,7 +287,10 @@
 
 void Proxy::OnList(const MemberList& list, ListKind kind) {
   PassOn(disabled_.Pass(list, kind != ListKind::kDelta), kind);
-  if (clients_ && !list.members.empty()) lifecycle_.Started();
+  listed_ |= !list.members.empty();
+  if (clients_ && listed_) lifecycle_.Started();
+  // From within discovery's call: the hand-over is a step of its own.
+  if (predecessor_ && !clients_ && kind != ListKind::kCached && listed_) TakeOverAfter({});
 }
 
 void Proxy::PassOn(const MemberList& list, ListKind kind) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -24,6 +24,7 @@
 #include "config.h"
 #include "disabled.h"
 #include "discovery.h"
+#include "handover.h"
 #include "lifecycle.h"
 #include "members.h"
 #include "operator.h"
@@ -77,7 +78,16 @@
   void OnList(const MemberList& list, ListKind kind);
   void PassOn(const MemberList& list, ListKind kind);
   Verdict Carried(DisabledBackends::Verdict verdict, const MemberList& changes);
-  void WatchDisabled();
+  void LookAfterState();
+  // Begins to accept clients, at the listener that was inherited, if any.
+  void Serve(int listener);
+  void TakeOverAfter(std::chrono::milliseconds wait);
+  void TakeOver();
+  std::optional<Gift> GiveOver();
+  std::string LearntText();
+  void OnGift(const std::string& text);
+  int Descriptors() const;
+  void LeaveTo(int other_descriptors);
   void ForgetLongGone();
   int ZoneOf(const std::string& name) const;
 
@@ -95,6 +105,7 @@
   void ForgetIfOver(RequestId request);
   void ArmTimer();
 
+  boost::asio::io_context& io_;
   Config config_;
   ModuleClock clock_;
   Balancer balancer_;
@@ -105,15 +116,19 @@
   RequestId last_request_ = 0;
   std::deque<Event> events_;
   bool handling_ = false;
+  bool asked_for_listener_ = false;
+  bool listed_ = false;  // a list has named a backend
   Lifecycle lifecycle_;
   DisabledBackends disabled_;
   std::multimap<TimePoint, std::uint64_t> timers_;
   TimePoint armed_for_;
-  boost::asio::steady_timer timer_, look_;
+  boost::asio::steady_timer timer_, look_, fresh_list_;
   std::unique_ptr<Backends> backends_;
   std::unique_ptr<Clients> clients_;
   std::unique_ptr<Discovery> discovery_;
   std::unique_ptr<Operator> operator_;
+  std::unique_ptr<HandoverClient> predecessor_;
+  std::unique_ptr<HandoverServer> successor_;
 };
 
 }  // namespace brackenspoke::proxy
