--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -12,6 +13,7 @@
 #include <boost/beast/http/write.hpp>
 #include <cmath>
 #include <optional>
+#include <sstream>
 #include <utility>
 
 #include "clock.h"
@@ -77,13 +79,17 @@
     });
   }
 
-  void Assign(std::shared_ptr<const HttpRequest> request, Duration timeout, AttemptDone done) {
+  void Assign(std::shared_ptr<const HttpRequest> request, Duration timeout, AttemptDone done,
+              std::shared_ptr<Upload> upload) {
     ++use_;
     request_ = std::move(request);
     head_.base() = request_->base();
     head_.set("Req-Deadline-Ms", std::to_string(static_cast<long long>(std::ceil(timeout.count()))));
     head_.body() = {request_->body().data(), request_->body().size()};
     done_ = std::move(done);
+    upload_ = std::move(upload);
+    timeout_ = ToSteady(timeout);
+    body_.clear();
     deadline_ = Steady::now() + ToSteady(timeout);
     written_ = begun_ = false;
     interim_ = 0;
@@ -126,12 +132,25 @@
     socket_.close(ignored);
     timer_.cancel();
     if (owner_) owner_->Drop(this);
+    if (const auto on_piece = std::exchange(on_piece_, nullptr)) on_piece(false, {}, true);
   }
 
+  // The rest of a large answer. Without a reader the connection is of no more use.
+  class Rest : public PieceSource {
+   public:
+    explicit Rest(std::shared_ptr<Connection> connection) : connection_(std::move(connection)) {}
+    ~Rest() override { connection_->EndStream(); }
+    void Read(OnPiece on_piece) override { connection_->ReadStream(std::move(on_piece)); }
+
+   private:
+    std::shared_ptr<Connection> connection_;
+  };
+
   // The owner goes: nothing may be reported any more.
   void Orphan() {
     owner_ = nullptr;
     done_ = nullptr;
+    on_piece_ = nullptr;
     Close();
   }
 
@@ -140,7 +159,7 @@
     timer_.expires_at(at);
     timer_.async_wait([self = shared_from_this()](const Error& cancelled) {
       if (cancelled || self->closed_ || Steady::now() < self->timer_.expiry()) return;
-      if (!self->done_) return self->Close();  // idle for too long
+      if (!self->done_) return self->Close();  // idle for too long, or stalled in a large answer
       // Nothing has run unless the last byte was written.
       self->Finish(!self->written_                                           ? Outcome::kConnectFailed
                    : self->begun_ && self->timer_.expiry() < self->deadline_ ? Outcome::kReset
@@ -149,6 +168,7 @@
   }
 
   void Write() {
+    if (upload_) return WriteUpload();
     http::async_write(socket_, head_, [self = shared_from_this()](const Error& failed, std::size_t) {
       if (!self->done_) return;
       if (failed) return self->Finish(Outcome::kConnectFailed);
@@ -157,17 +177,56 @@
     });
   }
 
+  void WriteUpload() {
+    std::ostringstream head;
+    head << head_.base();
+    WritePiece(head.str() + Framed({head_.body().data(), head_.body().size()}, false, head_.chunked()),
+               false);
+  }
+
+  // The attempt's own time begins with the last byte: until then the client is timed by its session, and a
+  // backend by how long it takes nothing.
+  void WritePiece(std::string text, bool last) {
+    out_ = std::move(text);
+    SetTimer(Steady::now() + owner_->limits_.patience.stalled);
+    asio::async_write(socket_, asio::buffer(out_),
+                      [self = shared_from_this(), use = use_, last](const Error& failed, std::size_t) {
+                        if (!self->done_ || use != self->use_) return;
+                        if (failed) return self->Finish(Outcome::kConnectFailed);
+                        if (!last) return self->ReadUpload();
+                        self->out_ = {};
+                        self->written_ = true;
+                        self->written_at_ = Steady::now();
+                        self->deadline_ = self->written_at_ + self->timeout_;
+                        self->SetTimer(self->deadline_);
+                        self->AwaitAnswer();
+                      });
+  }
+
+  void ReadUpload() {
+    upload_->consumed = true;
+    SetTimer(Steady::time_point::max());
+    upload_->rest->Read(
+        [self = shared_from_this(), use = use_](bool whole, std::string_view piece, bool last) {
+          if (!self->done_ || use != self->use_) return;
+          if (!whole) return self->Finish(Outcome::kMoot);  // the client's doing, and nothing has run
+          self->WritePiece(Framed(piece, last, self->head_.chunked()), last);
+        });
+  }
+
   // An answer that has begun comes whole soon, or not at all: its connection may stay open and silent.
   void AwaitAnswer() {
     socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this(), use = use_](const Error& failed) {
       if (!self->done_ || use != self->use_) return;
       if (failed) return self->Finish(Outcome::kReset);
       self->begun_ = true;
-      self->SetTimer(std::min(self->deadline_, Steady::now() + self->owner_->limits_.patience.answer_whole));
+      self->ExpectMore();
       self->Read();
     });
   }
 
+  void ExpectMore() { SetTimer(std::min(deadline_, Steady::now() + owner_->limits_.patience.answer_whole)); }
+
   void Read() {
     parser_.emplace();
     parser_->body_limit(kMostBody);
@@ -190,35 +249,108 @@
     // An answer that only the connection's end delimits cannot be told from one cut short.
     if (!FramingIsPlain(header, header.version()) || (parser_->need_eof() && !parser_->chunked()))
       return Finish(Outcome::kReset);
-    http::async_read(socket_, buffer_, *parser_,
-                     [self = shared_from_this()](const Error& failed, std::size_t) {
-                       if (!self->done_) return;
-                       if (failed) return self->Finish(Outcome::kReset);
-                       self->reusable_ = self->parser_->keep_alive() && self->buffer_.size() == 0;
-                       HttpResponse response = self->parser_->release();
-                       const Outcome outcome = OutcomeOf(response);
-                       self->Finish(outcome, std::move(response));
-                     });
+    ReadBody();
   }
 
-  void Finish(Outcome outcome, HttpResponse response = {}) {
-    if (!done_) return;
+  void ReadBody() {
+    const auto length = parser_->content_length();
+    const bool ok = parser_->get().result() == http::status::ok;
+    if (parser_->is_done()) {
+      reusable_ = parser_->keep_alive() && buffer_.size() == 0;
+      HttpResponse response(parser_->get().base(), std::move(body_));
+      const Outcome outcome = OutcomeOf(response);
+      return Finish(outcome, std::move(response));
+    }
+    if (body_.size() > kMostWhole || (length && *length > kMostWhole))
+      return ok ? BeginStream() : Finish(Outcome::kReset);
+    ReadPiece(socket_, buffer_, *parser_, piece_,
+              [self = shared_from_this(), use = use_](const Error& failed, auto got) {
+                if (!self->done_ || use != self->use_) return;
+                if (failed) return self->Finish(Outcome::kReset);
+                self->body_.append(self->piece_.data(), got());
+                self->ExpectMore();
+                self->ReadBody();
+              });
+  }
+
+  // The answer counts from its first bytes on; what follows is between this connection and the client.
+  void BeginStream() {
     const auto self = shared_from_this();
+    AttemptResult result;
+    result.outcome = Outcome::kOk;
+    if (parser_->content_length()) result.length = *parser_->content_length();
+    result.response = HttpResponse(parser_->get().base(), std::move(body_));
+    if (upload_) result.written = written_at_;
     const AttemptDone done = std::exchange(done_, nullptr);
     request_ = {};
+    upload_.reset();
+    streaming_ = true;
+    SetTimer(Steady::time_point::max());
+    result.rest = std::make_shared<Rest>(self);
+    done(std::move(result));
+  }
+
+  void ReadStream(PieceSource::OnPiece on_piece) {
+    on_piece_ = std::move(on_piece);
+    if (closed_) {
+      asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        if (const auto on_piece = std::exchange(self->on_piece_, nullptr)) on_piece(false, {}, true);
+      });
+      return;
+    }
+    SetTimer(Steady::now() + owner_->limits_.patience.stalled);
+    ReadPiece(socket_, buffer_, *parser_, piece_, [self = shared_from_this()](const Error& failed, auto got) {
+      if (!self->streaming_ || self->closed_ || !self->on_piece_) return;
+      if (failed) return self->Close();
+      self->SetTimer(Steady::time_point::max());  // how long the client takes is not the backend's doing
+      const auto on_piece = std::exchange(self->on_piece_, nullptr);
+      on_piece(true, {self->piece_.data(), got()}, self->parser_->is_done());
+    });
+  }
+
+  void EndStream() {
+    if (!std::exchange(streaming_, false)) return;
+    on_piece_ = nullptr;
+    if (closed_) return;
+    if (!parser_->is_done() || !parser_->keep_alive() || buffer_.size() > 0 || !owner_) return Close();
+    Clear();
+    owner_->Keep(shared_from_this());
+  }
+
+  // What stands idle keeps no memory.
+  void Clear() {
+    request_ = {};
+    upload_.reset();
     head_ = {};
     parser_.reset();
+    out_ = {};
+    body_ = {};
+    piece_ = {};
     buffer_.clear();
-    buffer_.shrink_to_fit();  // what stands idle keeps no memory
+    buffer_.shrink_to_fit();
+  }
+
+  void Finish(Outcome outcome, HttpResponse response = {}) {
+    if (!done_) return;
+    const auto self = shared_from_this();
+    const AttemptDone done = std::exchange(done_, nullptr);
+    const bool uploaded = upload_ != nullptr && written_;
     // Closed before anybody hears of the end: the next attempt must not find this one on an open connection.
+    // A read or write that has not heard of it yet may still look at what belongs to it.
     if (std::exchange(reusable_, false) && owner_) {
+      Clear();
       owner_->Keep(self);
     } else {
       Close();
     }
     // Where one answer stays away, the idle connections may lead nowhere too.
     if (outcome == Outcome::kTimeout && owner_) owner_->CloseIdle(server_);
-    done({outcome, std::move(response), outcome == Outcome::kMoot});
+    AttemptResult result;
+    result.outcome = outcome;
+    result.response = std::move(response);
+    if (uploaded) result.written = written_at_;
+    result.local = outcome == Outcome::kMoot;
+    done(std::move(result));
   }
 
   Backends* owner_;
@@ -226,12 +358,18 @@
   std::uint64_t generation_;
   Tcp::socket socket_;
   asio::steady_timer timer_;
-  boost::beast::flat_buffer buffer_{kMostBody + kMostAnswerHeader};
-  std::optional<http::response_parser<http::string_body>> parser_;
+  boost::beast::flat_buffer buffer_{kMostWhole + kMostAnswerHeader};
+  std::optional<http::response_parser<http::buffer_body>> parser_;
+  std::string body_, out_;  // an answer's body as far as it is held; what is being written of a large request
+  std::vector<char> piece_;  // of a body that is being read
+  std::shared_ptr<Upload> upload_;
+  PieceSource::OnPiece on_piece_;  // wants the next piece of a large answer
   std::shared_ptr<const HttpRequest> request_;
   http::request<http::span_body<const char>> head_;  // the request as it is written; its body is request_'s
   AttemptDone done_;                                 // set while an attempt is out
-  Steady::time_point deadline_{}, idle_since_{};
+  Steady::duration timeout_{};
+  Steady::time_point deadline_{}, idle_since_{}, written_at_{};
+  bool streaming_ = false;
   std::uint64_t use_ = 0;
   int interim_ = 0;
   bool written_ = false, begun_ = false, reusable_ = false, closed_ = false;
@@ -284,18 +422,18 @@
 }
 
 void Backends::Send(ServerId server, std::shared_ptr<const HttpRequest> request, Duration timeout,
-                    AttemptDone done) {
+                    AttemptDone done, std::shared_ptr<Upload> upload) {
   Backend& backend = backends_[server];
   std::shared_ptr<Connection> connection = TakeIdle(backend);
   if (connection) {
-    connection->Assign(std::move(request), timeout, std::move(done));
+    connection->Assign(std::move(request), timeout, std::move(done), std::move(upload));
     return connection->Reuse();
   }
   connection = std::make_shared<Connection>(*this, server, backend.generation);
   live_.emplace(connection.get(), connection);
   ++open_;
   ++backend.live;
-  connection->Assign(std::move(request), timeout, std::move(done));
+  connection->Assign(std::move(request), timeout, std::move(done), std::move(upload));
   // A backend that never had an address could not be connected to; a pool full of attempts is no backend's
   // fault.
   if (backend.address.port() == 0) return connection->FinishSoon(Outcome::kConnectFailed);
--- a/src/proxy/backends.h
+++ b/src/proxy/backends.h
@@ -22,8 +22,12 @@
 
 struct AttemptResult {
   Outcome outcome = Outcome::kUnknown;
-  HttpResponse response;  // of kOk, whole; of kUnknown, where the backend turned the request away as faulty
-  bool local = false;     // of kMoot: it could not begin for want of descriptors or places here
+  HttpResponse response;  // of kOk, whole but for `rest`; of kUnknown, where the backend turned the request
+                          // away as faulty
+  std::shared_ptr<PieceSource> rest;  // of a large answer; whoever lets it go lets go of the connection
+  std::optional<std::uint64_t> length;
+  std::optional<Steady::time_point> written;  // when a large request's last byte was
+  bool local = false;  // of kMoot: it could not begin for want of descriptors or places here
 };
 using AttemptDone = std::function<void(AttemptResult)>;
 
@@ -54,7 +58,9 @@
 
   // One attempt with the request as it came, but for how long its answer will be waited for. `done` is called
   // once, never from within this call, and not after the destructor.
-  void Send(ServerId server, std::shared_ptr<const HttpRequest> request, Duration timeout, AttemptDone done);
+  // `upload` is the rest of a large body, after whose last byte `timeout` begins.
+  void Send(ServerId server, std::shared_ptr<const HttpRequest> request, Duration timeout, AttemptDone done,
+            std::shared_ptr<Upload> upload = nullptr);
 
   void SetLimit(std::size_t connections) { limits_.connections = connections; }
   std::size_t connections() const { return open_; }
--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -11,6 +13,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cstdio>
+#include <sstream>
 #include <utility>
 
 namespace brackenspoke::proxy {
@@ -25,8 +28,9 @@
 constexpr std::chrono::milliseconds kPause{50};       // after a failed accept
 constexpr std::chrono::milliseconds kHalfRead{1500};  // at the stop, for the rest of a request to come
 constexpr std::chrono::milliseconds kLookAgain{10};
-constexpr double kBodyShare = 0.25;  // of the memory, for clients' bodies
-constexpr std::size_t kCopies = 2;   // of a body while it is read
+constexpr double kBodyShare = 0.25;            // of the memory, for clients' bodies
+constexpr std::size_t kLeastRate = 48 * 1000;  // bytes a second of a body; slow but honest clients send at 64
+constexpr std::size_t kCopies = 2;             // of a body while it is read
 constexpr std::chrono::milliseconds kSweep{50};
 constexpr std::chrono::milliseconds kFresh{500};  // while drained, for a new connection to say something
 constexpr double kRoomy = 0.4;  // of the connections, up to which those that stand idle are kept
@@ -35,7 +39,7 @@
 
 }  // namespace
 
-class Clients::Session : public std::enable_shared_from_this<Session>, public Responder {
+class Clients::Session : public std::enable_shared_from_this<Session>, public Responder, public PieceSource {
  public:
   Session(Clients& owner, Tcp::socket socket) : owner_(&owner), socket_(std::move(socket)) {}
 
@@ -64,6 +68,7 @@
   // Ends what has taken too long.
   void EndIfDue(Steady::time_point now) {
     if (now < until_) return;
+    if (state_ == State::kHeld) return FailUpload(http::status::request_timeout, "too slow");
     if (state_ != State::kReading) return Close();
     Error ignored;
     socket_.cancel(ignored);
@@ -74,6 +79,8 @@
     if (state_ == State::kClosed) return;
     state_ = State::kClosed;
     Release();
+    rest_.reset();
+    on_piece_ = nullptr;
     Error ignored;
     socket_.close(ignored);
     if (owner_) owner_->Remove(this);
@@ -84,13 +91,16 @@
     Close();
   }
 
-  void Served(HttpResponse answer) override {
+  void Served(HttpResponse answer, std::shared_ptr<PieceSource> rest,
+              std::optional<std::uint64_t> length) override {
     if (!Holds()) return;
     HttpResponse mine{http::status::ok, 11};
     if (const auto type = answer.find(http::field::content_type); type != answer.end())
       mine.set(http::field::content_type, type->value());
     mine.body() = std::move(answer.body());
-    Write(std::move(mine));
+    if (!rest) return Write(std::move(mine));
+    rest_ = std::move(rest);
+    Stream(std::move(mine), length);
   }
   void Refused(Duration retry_after) override {
     if (!Holds()) return;
@@ -109,11 +119,19 @@
     if (Holds()) TurnAway(status, "found faulty");
   }
 
+  // The rest of the request's body.
+  void Read(OnPiece on_piece) override {
+    asio::post(socket_.get_executor(), [self = shared_from_this(), on_piece = std::move(on_piece)]() mutable {
+      if (!self->Holds() || !self->uploading_) return on_piece(false, {}, true);
+      self->ReadUpload(std::move(on_piece));
+    });
+  }
+
  private:
   // Waiting for the first byte of a request, and then for its last.
   enum class State { kWaiting, kReading, kHeld, kWriting, kDraining, kClosed };
 
-  using Parser = http::request_parser<http::string_body>;
+  using Parser = http::request_parser<http::buffer_body>;
 
   const Patience& patience() const { return owner_->config_.patience; }
 
@@ -151,6 +169,7 @@
     parser_.emplace();
     parser_->header_limit(kMostHeader);
     parser_->body_limit(kMostBody);
+    kept_.clear();
     http::async_read_header(socket_, buffer_, *parser_,
                             [self = shared_from_this()](const Error& failed, std::size_t) {
                               if (self->state_ != State::kReading) return;
@@ -163,11 +182,12 @@
     const auto& header = parser_->get();
     if (const auto complaint = CheckHeader(header)) return TurnAway(complaint->status, complaint->text);
     const std::size_t length = static_cast<std::size_t>(
-        parser_->chunked() ? kMostBody
-                           : std::min<std::uint64_t>(kMostBody, parser_->content_length().value_or(0)));
+        parser_->chunked() ? kMostWhole
+                           : std::min<std::uint64_t>(kMostWhole, parser_->content_length().value_or(0)));
     if (!owner_->Reserve(length * kCopies))
       return TurnAway(http::status::service_unavailable, "no memory for this now; trying again is harmless");
     reserved_ = length * kCopies;
+    until_ = std::max(until_, Steady::now() + patience().body_grace + TimeFor(length));
     if (boost::beast::iequals(header[http::field::expect], "100-continue")) return Continue();
     ReadBody();
   }
@@ -186,18 +206,66 @@
   }
 
   void ReadBody() {
-    http::async_read(socket_, buffer_, *parser_,
-                     [self = shared_from_this()](const Error& failed, std::size_t) {
-                       if (self->state_ != State::kReading) return;
-                       if (failed) return self->OnUnreadable(failed);
-                       self->OnRead(Steady::now());
-                     });
+    if (parser_->is_done() || kept_.size() >= kMostWhole) return OnRead(Steady::now());
+    ReadPiece(socket_, buffer_, *parser_, piece_, [self = shared_from_this()](const Error& failed, auto got) {
+      if (self->state_ != State::kReading) return;
+      self->kept_.append(self->piece_.data(), got());
+      if (failed) return self->OnUnreadable(failed);
+      self->ReadBody();
+    });
+  }
+
+  static Steady::duration TimeFor(std::size_t bytes) {
+    return std::chrono::milliseconds(bytes * 1000 / kLeastRate);
+  }
+
+  // Over all its pieces, an upload may take a grace more than it does at the least rate. Time in which nobody
+  // asked for a piece is not the client's.
+  void ReadUpload(OnPiece on_piece) {
+    on_piece_ = std::move(on_piece);
+    const auto began = Steady::now();
+    until_ = began + std::max<Steady::duration>(patience().body_grace + TimeFor(uploaded_) - upload_time_,
+                                                std::chrono::milliseconds(1));
+    ReadPiece(socket_, buffer_, *parser_, piece_,
+              [self = shared_from_this(), began](const Error& failed, auto got) {
+                if (!self->Holds() || !self->on_piece_) return;
+                if (failed) {
+                  if (IsFromParser(failed)) return self->FailUpload(http::status::bad_request, "malformed");
+                  return self->FailUpload(std::nullopt, "");
+                }
+                const auto now = Steady::now();
+                const std::size_t n = got();
+                self->upload_time_ += now - began;
+                self->uploaded_ += n;
+                self->until_ = Steady::time_point::max();
+                const bool last = self->parser_->is_done();
+                if (last) self->uploading_ = false, self->WatchClient();
+                std::exchange(self->on_piece_, nullptr)(true, {self->piece_.data(), n}, last);
+              });
+  }
+
+  // The client has broken off, or is to be told that it is at fault: either is the end of its request.
+  void FailUpload(std::optional<http::status> status, const char* text) {
+    const auto self = shared_from_this();
+    const auto on_piece = std::exchange(on_piece_, nullptr);
+    auto& handler = owner_->handler_;
+    const RequestId of = request_;
+    if (status) {
+      TurnAway(*status, text);
+    } else {
+      Close();
+    }
+    if (on_piece) on_piece(false, {}, true);
+    handler.OnClientGone(of);
+  }
+
+  static bool IsFromParser(const Error& failed) {
+    return failed.category() == http::make_error_code(http::error::bad_version).category() &&
+           failed != http::error::end_of_stream && failed != http::error::partial_message;
   }
 
   void OnUnreadable(const Error& failed) {
-    const bool from_parser = failed.category() == http::make_error_code(http::error::bad_version).category();
-    if (!from_parser || failed == http::error::end_of_stream || failed == http::error::partial_message)
-      return Close();
+    if (!IsFromParser(failed)) return Close();
     if (failed == http::error::body_limit) return TurnAway(http::status::payload_too_large, "too large");
     if (failed == http::error::header_limit || failed == http::error::buffer_overflow)
       return TurnAway(http::status::request_header_fields_too_large, "header too large");
@@ -206,8 +274,15 @@
 
   void OnRead(Steady::time_point at) {
     asked_ = true;
-    HttpRequest message = parser_->release();
+    uploading_ = !parser_->is_done();
+    uploaded_ = 0;
+    upload_time_ = {};
+    const bool has_length = !parser_->chunked();
+    const std::uint64_t length = has_length ? parser_->content_length().value_or(0) : 0;
+    HttpRequest message(parser_->get().base(), std::exchange(kept_, {}));
     last_ = !message.keep_alive();
+    old_client_ = message.version() < 11;
+    if (!uploading_) piece_ = {};
     if (message.method() == http::verb::get && message.target() == "/ready") {
       const bool ready = owner_->handler_.Ready() && !owner_->stopping_;
       return Write(ready ? Plain(http::status::ok, "ready\n")
@@ -219,9 +294,14 @@
     const auto id = request.message["Req-Id"];
     if (owner_->handler_.IsOpen({id.data(), id.size()}))
       return TurnAway(http::status::conflict, "Req-Id is that of an open request");
+    if (uploading_) {
+      request.rest = shared_from_this();
+      if (has_length) request.message.content_length(length);
+      if (!has_length) request.message.chunked(true);
+    }
     Enter(State::kHeld, std::nullopt);
     request_ = owner_->handler_.OnRequest(std::move(request), shared_from_this());
-    if (state_ == State::kHeld) WatchClient();
+    if (state_ == State::kHeld && !uploading_) WatchClient();
   }
 
   // A client that closes its connection while its request is held has gone.
@@ -250,7 +330,7 @@
   void Write(HttpResponse response) {
     Enter(State::kWriting, patience().answer_taken);
     response_ = std::move(response);
-    last_ |= owner_->stopping_ || owner_->drained_ || owner_->handed_over_;
+    last_ |= uploading_ || owner_->stopping_ || owner_->drained_ || owner_->handed_over_;
     response_.keep_alive(!last_);
     response_.prepare_payload();
     Error ignored;
@@ -259,12 +339,60 @@
       if (self->state_ != State::kWriting) return;
       self->response_ = {};
       if (failed) return self->Close();
-      if (self->last_) return self->CloseGently();
-      self->Wait(self->patience().kept);
-      if (self->owner_->waiting_for_room_) self->owner_->Accept();
+      self->OnAnswered();
     });
   }
 
+  void OnAnswered() {
+    if (last_) return CloseGently();
+    Wait(patience().kept);
+    if (owner_->waiting_for_room_) owner_->Accept();
+  }
+
+  // An answer whose end is still to come.
+  void Stream(HttpResponse response, std::optional<std::uint64_t> length) {
+    Enter(State::kWriting, patience().answer_taken);
+    chunked_ = !length && !old_client_;
+    // Only the connection's end can tell a client of HTTP/1.0 how long it is.
+    last_ |= uploading_ || owner_->stopping_ || owner_->drained_ || owner_->handed_over_ ||
+             (!length && old_client_);
+    response.keep_alive(!last_);
+    if (length) response.content_length(*length);
+    if (chunked_) response.chunked(true);
+    Error ignored;
+    socket_.cancel(ignored);  // the watch for the client's end
+    std::ostringstream head;
+    head << response.base();
+    WriteStream(head.str() + Framed(response.body(), false, chunked_), false);
+  }
+
+  void WriteStream(std::string text, bool last) {
+    until_ = Steady::now() + patience().answer_taken;
+    out_ = std::move(text);
+    asio::async_write(socket_, asio::buffer(out_),
+                      [self = shared_from_this(), last](const Error& failed, std::size_t) {
+                        if (self->state_ != State::kWriting) return;
+                        if (failed) return self->Close();
+                        if (last) {
+                          self->out_ = {};
+                          self->rest_.reset();
+                          return self->OnAnswered();
+                        }
+                        self->rest_->Read([self](bool whole, std::string_view piece, bool last) {
+                          if (self->state_ != State::kWriting) return;
+                          if (!whole) return self->Abort();
+                          self->WriteStream(Framed(piece, last, self->chunked_), last);
+                        });
+                      });
+  }
+
+  // A reset: whatever the framing, the client can tell that the answer is not whole.
+  void Abort() {
+    Error ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    Close();
+  }
+
   // Guards against a reset overtaking the answer: with unread input left, a plain close would send one.
   void CloseGently() {
     Enter(State::kDraining, patience().drained);
@@ -273,21 +401,31 @@
     Drain();
   }
   void Drain() {
-    buffer_.clear();
-    socket_.async_read_some(buffer_.prepare(4096),
+    drain_.resize(kPiece);
+    socket_.async_read_some(asio::buffer(drain_),
                             [self = shared_from_this()](const Error& failed, std::size_t n) {
                               if (self->state_ != State::kDraining) return;
                               self->drained_ += n;
-                              if (failed || self->drained_ > 4 * kMostBody) return self->Close();
+                              if (failed || self->drained_ > (self->uploading_ ? kMostBody : 4 * kMostWhole))
+                                return self->Close();
                               self->Drain();
                             });
   }
 
   Clients* owner_;
   Tcp::socket socket_;
-  boost::beast::flat_buffer buffer_{kMostBody + kMostHeader};
+  boost::beast::flat_buffer buffer_{kMostWhole + kMostHeader};
   std::optional<Parser> parser_;
   HttpResponse response_;
+  std::string kept_, out_;   // a request's body as far as it is held; what is being written of an answer
+  std::vector<char> drain_;  // not the buffer of a read that may not have heard yet that it is over
+  std::vector<char> piece_;  // of a body that is being read
+  std::shared_ptr<PieceSource> rest_;  // of the answer
+  OnPiece on_piece_;                   // wants the next piece of the request's body
+  std::size_t uploaded_ = 0;
+  Steady::duration upload_time_{};
+  bool uploading_ = false;  // the request's body has not come whole
+  bool chunked_ = false, old_client_ = false;
   RequestId request_ = 0;
   std::size_t drained_ = 0, reserved_ = 0;
   State state_ = State::kWaiting;
--- a/src/proxy/clients.h
+++ b/src/proxy/clients.h
@@ -25,7 +25,9 @@
 class Responder {
  public:
   virtual ~Responder() = default;
-  virtual void Served(HttpResponse answer) = 0;
+  // The body may go on in `rest`, and is then `length` long if that is known.
+  virtual void Served(HttpResponse answer, std::shared_ptr<PieceSource> rest,
+                      std::optional<std::uint64_t> length) = 0;
   virtual void Refused(Duration retry_after) = 0;
   virtual void Failed() = 0;
   // A backend found the request itself faulty.
--- a/src/proxy/framing.h
+++ b/src/proxy/framing.h
@@ -14,14 +14,13 @@
 
 #include "clock.h"
 #include "config.h"
+#include "pieces.h"
 
 namespace brackenspoke::proxy {
 
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
-inline constexpr std::size_t kMostBody = 64 * 1024;  // of the protocol, either way
-
 // True if every reader takes the same bytes for the body: at most one Content-Length, which is a number, or
 // one Transfer-Encoding, which is `chunked`, never both. The parser lets unknown codings pass beside a
 // length.
@@ -29,7 +28,8 @@
 
 // A request as read from a client, its headers understood.
 struct ClientRequest {
-  HttpRequest message;  // what goes on to backends
+  HttpRequest message;                // what goes on to backends; its body may go on in `rest`
+  std::shared_ptr<PieceSource> rest;  // null if the body is whole
   Steady::time_point due{};
   int request_class = 0;
   int tenant = 0;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -369,6 +369,7 @@
   open_ids_.emplace(request.message["Req-Id"]);
   pending.message = std::make_shared<const HttpRequest>(std::move(request.message));
   pending.due = request.due;
+  if (request.rest) pending.upload = std::make_shared<Upload>(Upload{std::move(request.rest)});
   pending.responder = std::move(responder);
   Feed(submit);
   return id;
@@ -399,10 +400,12 @@
   pending.attempt_out = true;
   Duration timeout = pending.due - now;
   if (action.timeout.count() != 0) timeout = std::clamp(action.timeout, Duration(0), timeout);
-  backends_->Send(action.server, pending.message, timeout,
-                  [this, id = action.request, attempt, server = action.server, now](AttemptResult result) {
-                    OnAttemptDone(id, attempt, server, now, std::move(result));
-                  });
+  backends_->Send(
+      action.server, pending.message, timeout,
+      [this, id = action.request, attempt, server = action.server, now](AttemptResult result) {
+        OnAttemptDone(id, attempt, server, now, std::move(result));
+      },
+      pending.upload);
 }
 
 void Proxy::OnAttemptDone(RequestId request, int attempt, ServerId server, Steady::time_point sent,
@@ -412,11 +415,13 @@
   end.attempt = attempt;
   end.server = server;
   end.outcome = result.outcome;
-  end.took = Steady::now() - sent;
+  end.took = Steady::now() - result.written.value_or(sent);
   const auto found = pending_.find(request);
   if (found != pending_.end()) found->second.attempt_out = false;
   if (result.outcome == Outcome::kOk) {
-    if (const auto responder = Conclude(request)) responder->Served(std::move(result.response));
+    if (const auto responder = Conclude(request)) {
+      responder->Served(std::move(result.response), std::move(result.rest), result.length);
+    }
   } else if (result.outcome == Outcome::kUnknown) {
     if (const auto responder = Conclude(request)) responder->Rejected(result.response.result());
   } else if (result.local) {
@@ -428,6 +433,10 @@
         responder->Failed();
       }
     }
+  } else if (found != pending_.end() && found->second.upload && found->second.upload->consumed) {
+    // Some of the body has left for good: there is no other attempt.
+    const bool ran = result.outcome != Outcome::kConnectFailed && result.outcome != Outcome::kFull;
+    if (const auto responder = Conclude(request)) ran ? responder->Failed() : responder->Refused(kLocalRest);
   }
   end.settled = found == pending_.end() || !found->second.responder;
   ForgetIfOver(request);
@@ -437,7 +446,9 @@
 // Ends the request: whoever gets the responder gives the one final answer.
 std::shared_ptr<Responder> Proxy::Conclude(RequestId request) {
   const auto found = pending_.find(request);
-  return found == pending_.end() ? nullptr : std::exchange(found->second.responder, nullptr);
+  if (found == pending_.end()) return nullptr;
+  found->second.upload.reset();
+  return std::exchange(found->second.responder, nullptr);
 }
 
 void Proxy::ForgetIfOver(RequestId request) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -67,6 +67,7 @@
   // From its Submit until it has its answer and no attempt is out.
   struct Pending {
     std::shared_ptr<const HttpRequest> message;
+    std::shared_ptr<Upload> upload;  // null if the message is whole
     Steady::time_point due{};
     std::shared_ptr<Responder> responder;  // null once answered
     int attempts = 0;
