--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -369,13 +369,13 @@
   void WriteStream(std::string text, bool last) {
     until_ = Steady::now() + patience().answer_taken;
     out_ = std::move(text);
+    if (last) rest_.reset();  // the backend's connection is free for others
     asio::async_write(socket_, asio::buffer(out_),
                       [self = shared_from_this(), last](const Error& failed, std::size_t) {
                         if (self->state_ != State::kWriting) return;
                         if (failed) return self->Close();
                         if (last) {
                           self->out_ = {};
-                          self->rest_.reset();
                           return self->OnAnswered();
                         }
                         self->rest_->Read([self](bool whole, std::string_view piece, bool last) {
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -129,6 +129,7 @@
     return true;
   });
   Site site(Members(MemberJson("s-1", backend.address())));
+  site.patience.rest = std::chrono::milliseconds(0);
   site.Start();
   Client client(site.proxy->address);
   const std::string chunked =
