Answers that end with their connection are taken where the backend said so

Cause found by logging why answers were dropped: all 613 were 200s with Connection: close and no length. Ruled out: the limit between an answer's pieces.

--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cmath>
@@ -246,8 +247,11 @@
       const bool over = header.result() == http::status::switching_protocols || ++interim_ > kMostInterim;
       return over ? Finish(Outcome::kReset) : Read();
     }
-    // An answer that only the connection's end delimits cannot be told from one cut short.
-    if (!FramingIsPlain(header, header.version()) || (parser_->need_eof() && !parser_->chunked()))
+    // An answer that only the connection's end delimits cannot be told from one cut short, unless the backend
+    // has said that it will close: then a plain end is the answer's, and a reset is not.
+    const bool ends_it =
+        header.version() >= 11 && http::token_list(header[http::field::connection]).exists("close");
+    if (!FramingIsPlain(header, header.version()) || (parser_->need_eof() && !parser_->chunked() && !ends_it))
       return Finish(Outcome::kReset);
     ReadBody();
   }
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -78,6 +78,21 @@
   EXPECT_EQ(client.Ask(Book()).result_int(), 502u);
 }
 
+TEST(Proxy, AnAnswerThatEndsWithItsConnectionIsTakenIfTheBackendSaidSo) {
+  for (const std::size_t size : {std::size_t{10}, std::size_t{300 * 1000}}) {
+    const std::string answer(size, 'z');
+    Backend backend([&](Tcp::socket& s, const HttpRequest&) {
+      SendRaw(s, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + answer);
+      return false;
+    });
+    Site site(Members(MemberJson("s-1", backend.address())));
+    site.Start();
+    Client client(site.proxy->address);
+    EXPECT_EQ(client.Ask(Book()).body(), answer);
+    EXPECT_EQ(client.Ask(Book()).body(), answer);
+  }
+}
+
 TEST(Proxy, AnAnswerThatClaimsToBeHugeIsAFailure) {
   Backend backend([](Tcp::socket& s, const HttpRequest&) {
     SendRaw(s, "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nand so on");
