--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -117,6 +117,30 @@
   EXPECT_EQ(late_on.size(), 3u) << "four of six always fail; three are out";
 }
 
+TEST(OutlierDetection, ANextProcessKeepsServersOutForAsLongAsTheOneBeforeWould) {
+  Rig before;
+  before.Servers(3);
+  Answers(before, 3, 3);
+  ASSERT_FALSE(InService(before, 1));
+  before.Tick(500);
+  const auto learnt = before.Learned();
+  ASSERT_EQ(learnt.size(), 1u);
+  EXPECT_EQ(learnt[0].multiplier, 1);
+
+  Rig next;
+  next.now = before.now;
+  next.Servers(3);
+  EXPECT_TRUE(InService(next, 1));
+  Inherited inherited{learnt};
+  inherited.servers.push_back({99, 3, Duration(1000), 0});  // a server that is not listed here
+  next.Do(inherited);
+  EXPECT_FALSE(InService(next, 1));
+  next.Tick(learnt[0].ejected_for.count() - 1);
+  EXPECT_FALSE(InService(next, 1));
+  next.Tick(2);
+  EXPECT_TRUE(InService(next, 1));
+}
+
 TEST(OutlierDetection, ThresholdIsStrict) {
   Rig at;
   at.Servers(3);
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -117,6 +117,8 @@
     return n;
   }
 
+  std::vector<Learnt> Learned() { return balancer_.Learned(At(now)); }
+
   std::vector<Dispatch> sent;
 
  private:
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -5,6 +5,8 @@
 #ifndef BRACKENSPOKE_TESTS_LOOPBACK_H_
 #define BRACKENSPOKE_TESTS_LOOPBACK_H_
 
+#include <stdlib.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -16,6 +18,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <condition_variable>
+#include <filesystem>
 #include <functional>
 #include <future>
 #include <memory>
@@ -40,6 +43,17 @@
 inline const Tcp::endpoint kAnyPort(asio::ip::make_address("127.0.0.1"), 0);
 inline constexpr std::chrono::seconds kGiveUp{30};
 
+// A folder of the test's own, as $TMPDIR is a proxy's.
+class Folder {
+ public:
+  Folder() {
+    char name[] = "/tmp/copperpoint-test-XXXXXX";
+    path = mkdtemp(name);
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  std::string path;
+};
+
 // A number or a state that a test waits for.
 template <typename T>
 class Watched {
--- a/tests/operation_test.cpp
+++ b/tests/operation_test.cpp
@@ -4,7 +4,6 @@
 #include <gtest/gtest.h>
 #include <stdlib.h>
 
-#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -21,17 +20,6 @@
 using proxy::Member;
 using proxy::MemberList;
 
-// A folder of the test's own, as $TMPDIR is a proxy's.
-class Folder {
- public:
-  Folder() {
-    char name[] = "/tmp/copperpoint-test-XXXXXX";
-    path = mkdtemp(name);
-  }
-  ~Folder() { std::filesystem::remove_all(path); }
-  std::string path;
-};
-
 std::string Call(const std::string& method, const std::string& target) {
   return method + " " + target + " HTTP/1.1\r\nHost: x\r\n\r\n";
 }
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -243,18 +243,16 @@
 }
 
 // ---- one process after another ------------------------------------------------------------------------
-class StateFolder {
- public:
-  StateFolder() {
-    char name[] = "/tmp/copperpoint-test-XXXXXX";
-    path = mkdtemp(name);
-  }
-  ~StateFolder() { std::filesystem::remove_all(path); }
-  std::string path;
-};
-
 std::string Text(const Tcp::endpoint& address) { return "127.0.0.1:" + std::to_string(address.port()); }
 
+std::map<std::string, std::string> Environment(const ConfigFile& file, const Tcp::endpoint& listen,
+                                               const Tcp::endpoint& calls, const Folder& folder) {
+  return {{"ROUTER_CONFIG", file.path},
+          {"ROUTER_LISTEN", Text(listen)},
+          {"ROUTER_OPERATOR", Text(calls)},
+          {"TMPDIR", folder.path}};
+}
+
 unsigned Operate(const Tcp::endpoint& address, const std::string& target) {
   return Client(address).Ask("POST " + target + " HTTP/1.1\r\nHost: x\r\n\r\n").result_int();
 }
@@ -264,12 +262,9 @@
   FakeDiscovery discovery;
   const auto list = Members(MemberJson("s-1", one.address()), MemberJson("s-2", two.address()));
   const ConfigFile file(ConfigJson(discovery.address(), list).dump());
-  const StateFolder folder;
+  const Folder folder;
   const auto address = FreePort(), first_calls = FreePort(), next_calls = FreePort();
-  std::map<std::string, std::string> env{{"ROUTER_CONFIG", file.path},
-                                         {"ROUTER_LISTEN", Text(address)},
-                                         {"ROUTER_OPERATOR", Text(first_calls)},
-                                         {"TMPDIR", folder.path}};
+  auto env = Environment(file, address, first_calls, folder);
   Child first(env);
   ASSERT_TRUE(WaitUntilReady(first_calls));
   ASSERT_TRUE(discovery.WaitForWatches(1));
@@ -308,12 +303,9 @@
   FakeDiscovery discovery;
   const auto list = Members(MemberJson("s-1", backend.address()));
   const ConfigFile file(ConfigJson(discovery.address(), list).dump());
-  const StateFolder folder;
+  const Folder folder;
   const auto address = FreePort(), first_calls = FreePort(), next_calls = FreePort();
-  std::map<std::string, std::string> env{{"ROUTER_CONFIG", file.path},
-                                         {"ROUTER_LISTEN", Text(address)},
-                                         {"ROUTER_OPERATOR", Text(first_calls)},
-                                         {"TMPDIR", folder.path}};
+  auto env = Environment(file, address, first_calls, folder);
   Child first(env);
   ASSERT_TRUE(WaitUntilReady(first_calls));
   env["ROUTER_OPERATOR"] = Text(next_calls);
@@ -337,14 +329,11 @@
   const ConfigFile file(
       ConfigJson(discovery.address(), Members(MemberJson("s-1", backend.address()))).dump());
   for (const bool torn : {false, true}) {
-    const StateFolder folder;
+    const Folder folder;
     std::ofstream(folder.path + "/copperpoint-n1-disabled.json") << "{\"disabled\":[\"s-";
     if (torn) std::ofstream(folder.path + "/copperpoint-n1-handover.sock") << "torn";
     const auto address = FreePort(), calls = FreePort();
-    Child child({{"ROUTER_CONFIG", file.path},
-                 {"ROUTER_LISTEN", Text(address)},
-                 {"ROUTER_OPERATOR", Text(calls)},
-                 {"TMPDIR", folder.path}});
+    Child child(Environment(file, address, calls, folder));
     ASSERT_TRUE(WaitUntilReady(calls));
     Client client(address);
     EXPECT_EQ(client.Ask(Look()).result_int(), 200u);
