--- a/examples/minimal.cpp
+++ b/examples/minimal.cpp
@@ -5,10 +5,10 @@
 #include <variant>
 #include <vector>
 
-#include "brackenspoke/balancer.h"
+#include "copperpoint/balancer.h"
 
 int main() {
-  using namespace brackenspoke;
+  using namespace copperpoint;
   using std::chrono::milliseconds;
 
   Settings settings;
--- a/include/brackenspoke/balancer.h
+++ b/include/copperpoint/balancer.h
@@ -1,12 +1,12 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// The whole interface of brackenspoke: settings, events, actions and the Balancer that maps one to the other.
+// The whole interface of copperpoint: settings, events, actions and the Balancer that maps one to the other.
 //
 // A Balancer is pure and deterministic. It has no clock, I/O, threads or globals: time comes in with each
 // event and randomness derives from the seed alone. Classes, tenants, zones and kinds are indices into the
 // lists of the settings, so names cannot decide anything.
-#ifndef BRACKENSPOKE_BALANCER_H_
-#define BRACKENSPOKE_BALANCER_H_
+#ifndef COPPERPOINT_BALANCER_H_
+#define COPPERPOINT_BALANCER_H_
 
 #include <chrono>
 #include <cstdint>
@@ -15,7 +15,7 @@
 #include <variant>
 #include <vector>
 
-namespace brackenspoke {
+namespace copperpoint {
 
 // The clock is the caller's; its origin is arbitrary and it only advances.
 struct Clock {
@@ -176,6 +176,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace brackenspoke
+}  // namespace copperpoint
 
-#endif  // BRACKENSPOKE_BALANCER_H_
+#endif  // COPPERPOINT_BALANCER_H_
--- a/src/adapter/codec.cpp
+++ b/src/adapter/codec.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "codec.h"
+#include "adapter/codec.h"
 
 #include <bit>
 #include <cstring>
@@ -7,7 +7,7 @@
 #include <type_traits>
 #include <utility>
 
-namespace brackenspoke::adapter {
+namespace copperpoint::adapter {
 namespace {
 
 static_assert(std::endian::native == std::endian::little,
@@ -294,4 +294,4 @@
   return frame;
 }
 
-}  // namespace brackenspoke::adapter
+}  // namespace copperpoint::adapter
--- a/src/adapter/codec.h
+++ b/src/adapter/codec.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // Frames of the simulator's wire: little-endian, packed. Reads batches of events, writes replies of actions.
-#ifndef BRACKENSPOKE_ADAPTER_CODEC_H_
-#define BRACKENSPOKE_ADAPTER_CODEC_H_
+#ifndef COPPERPOINT_ADAPTER_CODEC_H_
+#define COPPERPOINT_ADAPTER_CODEC_H_
 
 #include <cstdint>
 #include <iosfwd>
@@ -13,9 +13,9 @@
 #include <variant>
 #include <vector>
 
-#include "brackenspoke/balancer.h"
+#include "copperpoint/balancer.h"
 
-namespace brackenspoke::adapter {
+namespace copperpoint::adapter {
 
 // The input breaks the framing or a field; what() is one line.
 class MalformedInput : public std::runtime_error {
@@ -60,6 +60,6 @@
   std::string body_;
 };
 
-}  // namespace brackenspoke::adapter
+}  // namespace copperpoint::adapter
 
-#endif  // BRACKENSPOKE_ADAPTER_CODEC_H_
+#endif  // COPPERPOINT_ADAPTER_CODEC_H_
--- a/src/adapter/host.cpp
+++ b/src/adapter/host.cpp
@@ -1,13 +1,13 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "host.h"
+#include "adapter/host.h"
 
 #include <ostream>
 #include <utility>
 #include <vector>
 
-#include "settings.h"
+#include "adapter/settings.h"
 
-namespace brackenspoke::adapter {
+namespace copperpoint::adapter {
 
 std::string Host::Answer(const Batch& batch) {
   for (const Record& record : batch.records) Handle(batch.now, record);
@@ -45,7 +45,7 @@
 }
 
 void Host::TellOnce(const std::string& what) {
-  if (told_.insert(what).second) complaints_ << "brackenspoke_adapter: " << what << '\n';
+  if (told_.insert(what).second) complaints_ << "copperpoint_adapter: " << what << '\n';
 }
 
-}  // namespace brackenspoke::adapter
+}  // namespace copperpoint::adapter
--- a/src/adapter/host.h
+++ b/src/adapter/host.h
@@ -1,18 +1,18 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // Hosts one Balancer per live instance and carries events and actions between them and the wire.
-#ifndef BRACKENSPOKE_ADAPTER_HOST_H_
-#define BRACKENSPOKE_ADAPTER_HOST_H_
+#ifndef COPPERPOINT_ADAPTER_HOST_H_
+#define COPPERPOINT_ADAPTER_HOST_H_
 
 #include <iosfwd>
 #include <map>
 #include <set>
 #include <string>
 
-#include "brackenspoke/balancer.h"
-#include "codec.h"
+#include "adapter/codec.h"
+#include "copperpoint/balancer.h"
 
-namespace brackenspoke::adapter {
+namespace copperpoint::adapter {
 
 class Host {
  public:
@@ -31,6 +31,6 @@
   ReplyWriter reply_;
 };
 
-}  // namespace brackenspoke::adapter
+}  // namespace copperpoint::adapter
 
-#endif  // BRACKENSPOKE_ADAPTER_HOST_H_
+#endif  // COPPERPOINT_ADAPTER_HOST_H_
--- a/src/adapter/main.cpp
+++ b/src/adapter/main.cpp
@@ -2,19 +2,19 @@
 #include <exception>
 #include <iostream>
 
-#include "codec.h"
-#include "host.h"
+#include "adapter/codec.h"
+#include "adapter/host.h"
 
 int main() {
   std::ios::sync_with_stdio(false);
   std::cin.tie(nullptr);
-  brackenspoke::adapter::Host host(std::cerr);
+  copperpoint::adapter::Host host(std::cerr);
   try {
-    while (const auto batch = brackenspoke::adapter::ReadBatch(std::cin)) {
+    while (const auto batch = copperpoint::adapter::ReadBatch(std::cin)) {
       std::cout << host.Answer(*batch) << std::flush;
     }
   } catch (const std::exception& error) {
-    std::cerr << "brackenspoke_adapter: " << error.what() << '\n';
+    std::cerr << "copperpoint_adapter: " << error.what() << '\n';
     return 1;
   }
   return 0;
--- a/src/adapter/settings.cpp
+++ b/src/adapter/settings.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "settings.h"
+#include "adapter/settings.h"
 
 #include <charconv>
 #include <cmath>
@@ -8,7 +8,7 @@
 #include <optional>
 #include <string>
 
-namespace brackenspoke::adapter {
+namespace copperpoint::adapter {
 namespace {
 
 constexpr double kMost = 1e12;            // no count, time or rate of a deployment is larger
@@ -133,4 +133,4 @@
   return settings;
 }
 
-}  // namespace brackenspoke::adapter
+}  // namespace copperpoint::adapter
--- a/src/adapter/settings.h
+++ b/src/adapter/settings.h
@@ -1,15 +1,15 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // Reads the path=value settings of the simulator's wire.
-#ifndef BRACKENSPOKE_ADAPTER_SETTINGS_H_
-#define BRACKENSPOKE_ADAPTER_SETTINGS_H_
+#ifndef COPPERPOINT_ADAPTER_SETTINGS_H_
+#define COPPERPOINT_ADAPTER_SETTINGS_H_
 
 #include <stdexcept>
 #include <string_view>
 
-#include "brackenspoke/balancer.h"
+#include "copperpoint/balancer.h"
 
-namespace brackenspoke::adapter {
+namespace copperpoint::adapter {
 
 // A needed key is absent, or a key holds what it must not; what() names the key.
 class BadSettings : public std::runtime_error {
@@ -20,6 +20,6 @@
 // Unknown keys are ignored; an absent optional key has its documented meaning.
 Settings ParseSettings(std::string_view text);
 
-}  // namespace brackenspoke::adapter
+}  // namespace copperpoint::adapter
 
-#endif  // BRACKENSPOKE_ADAPTER_SETTINGS_H_
+#endif  // COPPERPOINT_ADAPTER_SETTINGS_H_
--- a/src/balance.cpp
+++ b/src/decision/balance.cpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// Every decision of brackenspoke. The types, events and actions are in include/brackenspoke/balancer.h.
+// Every decision of copperpoint. The types, events and actions are in include/copperpoint/balancer.h.
 //
 // The ordinary path is gRFC A50 outlier detection (failure percentage) and, among the servers in service, a
 // pick of the one with the least hinted work of this proxy's own in flight. Whatever departs from that is
@@ -11,10 +11,10 @@
 #include <unordered_map>
 #include <utility>
 
-#include "brackenspoke/balancer.h"
-#include "measures.h"
+#include "copperpoint/balancer.h"
+#include "decision/measures.h"
 
-namespace brackenspoke {
+namespace copperpoint {
 namespace {
 
 // ---- 1. Constants -------------------------------------------------------------------------------------
@@ -957,4 +957,4 @@
 
 std::vector<Learnt> Balancer::Learned(TimePoint now) { return impl_->Learned(now); }
 
-}  // namespace brackenspoke
+}  // namespace copperpoint
--- a/src/measures.h
+++ b/src/decision/measures.h
@@ -2,8 +2,8 @@
 //
 // What the decision module counts with: a random source, averages, memories and the record of a
 // request. No decisions.
-#ifndef BRACKENSPOKE_SRC_MEASURES_H_
-#define BRACKENSPOKE_SRC_MEASURES_H_
+#ifndef COPPERPOINT_DECISION_MEASURES_H_
+#define COPPERPOINT_DECISION_MEASURES_H_
 
 #include <algorithm>
 #include <cmath>
@@ -14,9 +14,9 @@
 #include <utility>
 #include <vector>
 
-#include "brackenspoke/balancer.h"
+#include "copperpoint/balancer.h"
 
-namespace brackenspoke {
+namespace copperpoint {
 
 // Deterministic from its seed alone; the standard distributions differ between libraries.
 class Random {
@@ -134,6 +134,6 @@
   UsualTime usual_time;
 };
 
-}  // namespace brackenspoke
+}  // namespace copperpoint
 
-#endif  // BRACKENSPOKE_SRC_MEASURES_H_
+#endif  // COPPERPOINT_DECISION_MEASURES_H_
--- a/src/proxy/clock.h
+++ b/src/proxy/clock.h
@@ -1,16 +1,16 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // The module's clock on this machine's steady one.
-#ifndef BRACKENSPOKE_PROXY_CLOCK_H_
-#define BRACKENSPOKE_PROXY_CLOCK_H_
+#ifndef COPPERPOINT_PROXY_CLOCK_H_
+#define COPPERPOINT_PROXY_CLOCK_H_
 
 #include <algorithm>
 #include <chrono>
 #include <cmath>
 
-#include "brackenspoke/balancer.h"
+#include "copperpoint/balancer.h"
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 
 using Steady = std::chrono::steady_clock;
 
@@ -38,6 +38,6 @@
   Duration unix_origin_ = std::chrono::system_clock::now().time_since_epoch();
 };
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
 
-#endif  // BRACKENSPOKE_PROXY_CLOCK_H_
+#endif  // COPPERPOINT_PROXY_CLOCK_H_
--- a/src/proxy/config.cpp
+++ b/src/proxy/config/config.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "config.h"
+#include "proxy/config/config.h"
 
 #include <algorithm>
 #include <cctype>
@@ -8,9 +8,9 @@
 #include <iterator>
 #include <nlohmann/json.hpp>
 
-#include "settings.h"
+#include "adapter/settings.h"
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 namespace {
 
 using nlohmann::json;
@@ -145,4 +145,4 @@
   });
 }
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
--- a/src/proxy/config.h
+++ b/src/proxy/config/config.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // What a proxy is told at its start: environment and configuration file, checked.
-#ifndef BRACKENSPOKE_PROXY_CONFIG_H_
-#define BRACKENSPOKE_PROXY_CONFIG_H_
+#ifndef COPPERPOINT_PROXY_CONFIG_CONFIG_H_
+#define COPPERPOINT_PROXY_CONFIG_CONFIG_H_
 
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
@@ -14,10 +14,10 @@
 #include <string_view>
 #include <vector>
 
-#include "brackenspoke/balancer.h"
-#include "members.h"
+#include "copperpoint/balancer.h"
+#include "proxy/discovery/members.h"
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 
 // what() is one line that says what is missing or wrong.
 class BadConfig : public std::runtime_error {
@@ -68,6 +68,6 @@
 // replaced since, goes before it.
 Config ReloadConfig(const Environment& env);
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
 
-#endif  // BRACKENSPOKE_PROXY_CONFIG_H_
+#endif  // COPPERPOINT_PROXY_CONFIG_CONFIG_H_
--- a/src/proxy/disabled.cpp
+++ b/src/proxy/control/disabled.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "disabled.h"
+#include "proxy/control/disabled.h"
 
 #include <fcntl.h>
 #include <sys/file.h>
@@ -13,7 +13,7 @@
 #include <utility>
 #include <vector>
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 namespace {
 
 using nlohmann::json;
@@ -178,4 +178,4 @@
   return Take(std::move(*ids), "operator, as stored");
 }
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
--- a/src/proxy/disabled.h
+++ b/src/proxy/control/disabled.h
@@ -3,8 +3,8 @@
 // The backends that staff have taken out by hand. Discovery's list passes through here and comes out with
 // these as draining, whatever discovery says of them. The set outlives this process in a file that a second
 // process of the same proxy reads and writes too.
-#ifndef BRACKENSPOKE_PROXY_DISABLED_H_
-#define BRACKENSPOKE_PROXY_DISABLED_H_
+#ifndef COPPERPOINT_PROXY_CONTROL_DISABLED_H_
+#define COPPERPOINT_PROXY_CONTROL_DISABLED_H_
 
 #include <functional>
 #include <map>
@@ -13,9 +13,9 @@
 #include <string>
 #include <string_view>
 
-#include "members.h"
+#include "proxy/discovery/members.h"
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 
 class DisabledBackends {
  public:
@@ -52,6 +52,6 @@
   std::string seen_;  // which version of the file was read last
 };
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
 
-#endif  // BRACKENSPOKE_PROXY_DISABLED_H_
+#endif  // COPPERPOINT_PROXY_CONTROL_DISABLED_H_
--- a/src/proxy/handover.cpp
+++ b/src/proxy/control/handover.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "handover.h"
+#include "proxy/control/handover.h"
 
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -14,7 +14,7 @@
 #include <utility>
 #include <vector>
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 namespace {
 
 namespace asio = boost::asio;
@@ -231,4 +231,4 @@
   std::exchange(taken_, nullptr)(std::move(gift));
 }
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
--- a/src/proxy/lifecycle.cpp
+++ b/src/proxy/control/lifecycle.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "lifecycle.h"
+#include "proxy/control/lifecycle.h"
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 
 const char* NameOf(Lifecycle::State state) {
   switch (state) {
@@ -48,4 +48,4 @@
   Move([this] { stopping_ = true; });
 }
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
--- a/src/proxy/lifecycle.h
+++ b/src/proxy/control/lifecycle.h
@@ -2,13 +2,13 @@
 //
 // What the process as a whole is up to, and so whether it is ready. It says so in the log; it acts on
 // nothing.
-#ifndef BRACKENSPOKE_PROXY_LIFECYCLE_H_
-#define BRACKENSPOKE_PROXY_LIFECYCLE_H_
+#ifndef COPPERPOINT_PROXY_CONTROL_LIFECYCLE_H_
+#define COPPERPOINT_PROXY_CONTROL_LIFECYCLE_H_
 
 #include <functional>
 #include <string>
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 
 class Lifecycle {
  public:
@@ -36,6 +36,6 @@
 
 const char* NameOf(Lifecycle::State state);
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
 
-#endif  // BRACKENSPOKE_PROXY_LIFECYCLE_H_
+#endif  // COPPERPOINT_PROXY_CONTROL_LIFECYCLE_H_
--- a/src/proxy/operator.cpp
+++ b/src/proxy/control/operator.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "operator.h"
+#include "proxy/control/operator.h"
 
 #include <algorithm>
 #include <array>
@@ -15,7 +15,7 @@
 #include <string_view>
 #include <utility>
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 namespace {
 
 namespace asio = boost::asio;
@@ -260,4 +260,4 @@
   std::erase_if(calls_open_, [call](const auto& open) { return open.get() == call; });
 }
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
--- a/src/proxy/operator.h
+++ b/src/proxy/control/operator.h
@@ -2,8 +2,8 @@
 //
 // The operator address: HTTP/1.1, one call per connection. It reads calls, asks OperatorCalls, and words the
 // answers; it decides nothing and knows no other part of the proxy.
-#ifndef BRACKENSPOKE_PROXY_OPERATOR_H_
-#define BRACKENSPOKE_PROXY_OPERATOR_H_
+#ifndef COPPERPOINT_PROXY_CONTROL_OPERATOR_H_
+#define COPPERPOINT_PROXY_CONTROL_OPERATOR_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -13,7 +13,7 @@
 #include <memory>
 #include <string>
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 
 // What staff on call may ask of a proxy. None of the calls may throw or take long.
 class OperatorCalls {
@@ -63,6 +63,6 @@
   std::list<std::shared_ptr<Call>> calls_open_;  // the oldest first
 };
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
 
-#endif  // BRACKENSPOKE_PROXY_OPERATOR_H_
+#endif  // COPPERPOINT_PROXY_CONTROL_OPERATOR_H_
--- a/src/proxy/backends.cpp
+++ b/src/proxy/data/backends.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "backends.h"
+#include "proxy/data/backends.h"
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
@@ -17,9 +17,9 @@
 #include <sstream>
 #include <utility>
 
-#include "clock.h"
+#include "proxy/clock.h"
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 namespace {
 
 namespace asio = boost::asio;
@@ -492,4 +492,4 @@
   std::erase_if(found->second.idle, [&](const auto& idle) { return idle.get() == connection; });
 }
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
--- a/src/proxy/backends.h
+++ b/src/proxy/data/backends.h
@@ -2,8 +2,8 @@
 //
 // Attempts at backends and the pool of connections that carries them. It decides nothing: each Send is one
 // attempt on one connection and ends in exactly one result.
-#ifndef BRACKENSPOKE_PROXY_BACKENDS_H_
-#define BRACKENSPOKE_PROXY_BACKENDS_H_
+#ifndef COPPERPOINT_PROXY_DATA_BACKENDS_H_
+#define COPPERPOINT_PROXY_DATA_BACKENDS_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -15,10 +15,10 @@
 #include <unordered_set>
 #include <vector>
 
-#include "brackenspoke/balancer.h"
-#include "framing.h"
+#include "copperpoint/balancer.h"
+#include "proxy/data/framing.h"
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 
 struct AttemptResult {
   Outcome outcome = Outcome::kUnknown;
@@ -91,6 +91,6 @@
   std::size_t open_ = 0, opened_ = 0;
 };
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
 
-#endif  // BRACKENSPOKE_PROXY_BACKENDS_H_
+#endif  // COPPERPOINT_PROXY_DATA_BACKENDS_H_
--- a/src/proxy/clients.cpp
+++ b/src/proxy/data/clients.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "clients.h"
+#include "proxy/data/clients.h"
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
@@ -16,7 +16,7 @@
 #include <sstream>
 #include <utility>
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 namespace {
 
 namespace asio = boost::asio;
@@ -640,4 +640,4 @@
   });
 }
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
--- a/src/proxy/clients.h
+++ b/src/proxy/data/clients.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // The side of the clients: accepts connections, reads requests, writes the one answer to each.
-#ifndef BRACKENSPOKE_PROXY_CLIENTS_H_
-#define BRACKENSPOKE_PROXY_CLIENTS_H_
+#ifndef COPPERPOINT_PROXY_DATA_CLIENTS_H_
+#define COPPERPOINT_PROXY_DATA_CLIENTS_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -15,11 +15,11 @@
 #include <string>
 #include <string_view>
 
-#include "backends.h"
-#include "clock.h"
-#include "config.h"
+#include "proxy/clock.h"
+#include "proxy/config/config.h"
+#include "proxy/data/backends.h"
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 
 // Where the one answer to a request goes.
 class Responder {
@@ -98,6 +98,6 @@
   Steady::time_point half_read_until_{};
 };
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
 
-#endif  // BRACKENSPOKE_PROXY_CLIENTS_H_
+#endif  // COPPERPOINT_PROXY_DATA_CLIENTS_H_
--- a/src/proxy/framing.cpp
+++ b/src/proxy/data/framing.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "framing.h"
+#include "proxy/data/framing.h"
 
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 namespace {
 
 namespace http = boost::beast::http;
@@ -133,4 +133,4 @@
   return std::nullopt;
 }
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
--- a/src/proxy/framing.h
+++ b/src/proxy/data/framing.h
@@ -2,8 +2,8 @@
 //
 // What of a message is believed: its framing must leave no room for two readings, and what a request's
 // headers say must fit together.
-#ifndef BRACKENSPOKE_PROXY_FRAMING_H_
-#define BRACKENSPOKE_PROXY_FRAMING_H_
+#ifndef COPPERPOINT_PROXY_DATA_FRAMING_H_
+#define COPPERPOINT_PROXY_DATA_FRAMING_H_
 
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
@@ -12,11 +12,11 @@
 #include <optional>
 #include <string>
 
-#include "clock.h"
-#include "config.h"
-#include "pieces.h"
+#include "proxy/clock.h"
+#include "proxy/config/config.h"
+#include "proxy/data/pieces.h"
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
@@ -50,6 +50,6 @@
 std::optional<Complaint> Understand(HttpRequest message, Steady::time_point read_at, const Config& config,
                                     ClientRequest* request);
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
 
-#endif  // BRACKENSPOKE_PROXY_FRAMING_H_
+#endif  // COPPERPOINT_PROXY_DATA_FRAMING_H_
--- a/src/proxy/pieces.h
+++ b/src/proxy/data/pieces.h
@@ -2,8 +2,8 @@
 //
 // The rest of a body that is too large to be held whole, passed on a piece at a time. The next piece is asked
 // for once the last one is written: that is all the back-pressure there is, and all that is ever held.
-#ifndef BRACKENSPOKE_PROXY_PIECES_H_
-#define BRACKENSPOKE_PROXY_PIECES_H_
+#ifndef COPPERPOINT_PROXY_DATA_PIECES_H_
+#define COPPERPOINT_PROXY_DATA_PIECES_H_
 
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -20,7 +20,7 @@
 #include <utility>
 #include <vector>
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 
 inline constexpr std::size_t kMostWhole = 64 * 1024;        // of a body that is held whole
 inline constexpr std::size_t kMostBody = 33 * 1024 * 1024;  // of any body, either way
@@ -71,6 +71,6 @@
       });
 }
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
 
-#endif  // BRACKENSPOKE_PROXY_PIECES_H_
+#endif  // COPPERPOINT_PROXY_DATA_PIECES_H_
--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery/discovery.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "discovery.h"
+#include "proxy/discovery/discovery.h"
 
 #include <algorithm>
 #include <array>
@@ -14,7 +14,7 @@
 #include <optional>
 #include <utility>
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 namespace {
 
 namespace asio = boost::asio;
@@ -222,4 +222,4 @@
   });
 }
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
--- a/src/proxy/discovery.h
+++ b/src/proxy/discovery/discovery.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // Watches discovery for changes of the list of backends.
-#ifndef BRACKENSPOKE_PROXY_DISCOVERY_H_
-#define BRACKENSPOKE_PROXY_DISCOVERY_H_
+#ifndef COPPERPOINT_PROXY_DISCOVERY_DISCOVERY_H_
+#define COPPERPOINT_PROXY_DISCOVERY_DISCOVERY_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -12,9 +12,9 @@
 #include <memory>
 #include <string>
 
-#include "members.h"
+#include "proxy/discovery/members.h"
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 
 class Discovery {
  public:
@@ -66,6 +66,6 @@
   bool told_ = false;  // that discovery is away
 };
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
 
-#endif  // BRACKENSPOKE_PROXY_DISCOVERY_H_
+#endif  // COPPERPOINT_PROXY_DISCOVERY_DISCOVERY_H_
--- a/src/proxy/members.cpp
+++ b/src/proxy/discovery/members.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "members.h"
+#include "proxy/discovery/members.h"
 
 #include <algorithm>
 #include <boost/system/error_code.hpp>
@@ -7,7 +7,7 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 namespace {
 
 using nlohmann::json;
@@ -120,4 +120,4 @@
   numbers_.erase(found);
 }
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
--- a/src/proxy/members.h
+++ b/src/proxy/discovery/members.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // The list of backends in discovery's JSON form, and the numbers that the decision module knows them by.
-#ifndef BRACKENSPOKE_PROXY_MEMBERS_H_
-#define BRACKENSPOKE_PROXY_MEMBERS_H_
+#ifndef COPPERPOINT_PROXY_DISCOVERY_MEMBERS_H_
+#define COPPERPOINT_PROXY_DISCOVERY_MEMBERS_H_
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
@@ -13,9 +13,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "brackenspoke/balancer.h"
+#include "copperpoint/balancer.h"
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 
 struct Member {
   std::string id;
@@ -63,6 +63,6 @@
   std::unordered_map<ServerId, std::string> taken_;
 };
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
 
-#endif  // BRACKENSPOKE_PROXY_MEMBERS_H_
+#endif  // COPPERPOINT_PROXY_DISCOVERY_MEMBERS_H_
--- a/src/proxy/main.cpp
+++ b/src/proxy/main.cpp
@@ -6,8 +6,8 @@
 #include <cstdlib>
 #include <exception>
 
-#include "config.h"
-#include "proxy.h"
+#include "proxy/config/config.h"
+#include "proxy/proxy.h"
 
 namespace {
 
@@ -18,21 +18,21 @@
       io.run();
       return;
     } catch (const std::exception& error) {
-      std::fprintf(stderr, "kestrelline: %s\n", error.what());
+      std::fprintf(stderr, "copperpoint: %s\n", error.what());
     }
   }
 }
 
 const char* Environment(const char* name) { return std::getenv(name); }
 
-void ReloadAtSignal(boost::asio::signal_set& signals, brackenspoke::proxy::Proxy& proxy) {
+void ReloadAtSignal(boost::asio::signal_set& signals, copperpoint::proxy::Proxy& proxy) {
   signals.async_wait([&](const boost::system::error_code& failed, int) {
     if (failed) return;
     ReloadAtSignal(signals, proxy);
     try {
-      proxy.Reload(brackenspoke::proxy::ReloadConfig(Environment));
-    } catch (const brackenspoke::proxy::BadConfig& error) {
-      std::fprintf(stderr, "kestrelline: the old configuration stays: %s\n", error.what());
+      proxy.Reload(copperpoint::proxy::ReloadConfig(Environment));
+    } catch (const copperpoint::proxy::BadConfig& error) {
+      std::fprintf(stderr, "copperpoint: the old configuration stays: %s\n", error.what());
     }
   });
 }
@@ -45,14 +45,14 @@
     boost::asio::io_context io(1);
     // Caught from before the proxy listens: one that is ready must not die of a signal.
     boost::asio::signal_set ends(io, SIGTERM, SIGINT), reloads(io, SIGHUP);
-    brackenspoke::proxy::Proxy proxy(io, brackenspoke::proxy::LoadConfig(Environment));
+    copperpoint::proxy::Proxy proxy(io, copperpoint::proxy::LoadConfig(Environment));
     ends.async_wait([&](const boost::system::error_code& failed, int) {
       if (!failed) proxy.Stop([&] { io.stop(); });
     });
     ReloadAtSignal(reloads, proxy);
     Run(io);
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "kestrelline: %s\n", error.what());
+    std::fprintf(stderr, "copperpoint: %s\n", error.what());
     return 1;
   }
   return 0;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "proxy.h"
+#include "proxy/proxy.h"
 
 #include <algorithm>
 #include <cctype>
@@ -8,7 +8,7 @@
 #include <unordered_set>
 #include <utility>
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 namespace {
 
 // Descriptors: what is neither a client's nor a backend's (standard streams, the event loop, the listener,
@@ -494,4 +494,4 @@
   });
 }
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -2,8 +2,8 @@
 //
 // The proxy: turns what happens on sockets into events for its Balancer, and carries out the actions. Every
 // decision is the Balancer's.
-#ifndef BRACKENSPOKE_PROXY_PROXY_H_
-#define BRACKENSPOKE_PROXY_PROXY_H_
+#ifndef COPPERPOINT_PROXY_PROXY_H_
+#define COPPERPOINT_PROXY_PROXY_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -17,19 +17,19 @@
 #include <unordered_set>
 #include <vector>
 
-#include "backends.h"
-#include "brackenspoke/balancer.h"
-#include "clients.h"
-#include "clock.h"
-#include "config.h"
-#include "disabled.h"
-#include "discovery.h"
-#include "handover.h"
-#include "lifecycle.h"
-#include "members.h"
-#include "operator.h"
+#include "copperpoint/balancer.h"
+#include "proxy/clock.h"
+#include "proxy/config/config.h"
+#include "proxy/control/disabled.h"
+#include "proxy/control/handover.h"
+#include "proxy/control/lifecycle.h"
+#include "proxy/control/operator.h"
+#include "proxy/data/backends.h"
+#include "proxy/data/clients.h"
+#include "proxy/discovery/discovery.h"
+#include "proxy/discovery/members.h"
 
-namespace brackenspoke::proxy {
+namespace copperpoint::proxy {
 
 class Proxy : public RequestHandler, public OperatorCalls {
  public:
@@ -132,6 +132,6 @@
   std::unique_ptr<HandoverServer> successor_;
 };
 
-}  // namespace brackenspoke::proxy
+}  // namespace copperpoint::proxy
 
-#endif  // BRACKENSPOKE_PROXY_PROXY_H_
+#endif  // COPPERPOINT_PROXY_PROXY_H_
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -14,7 +14,7 @@
 #include "hex.h"
 #include "sample_settings.h"
 
-namespace brackenspoke {
+namespace copperpoint {
 namespace {
 
 using testing::Hex;
@@ -32,7 +32,7 @@
 }
 
 ProcessRun Adapter(const std::string& input) {
-  std::string base = ::testing::TempDir() + "brackenspoke_adapter_XXXXXX";
+  std::string base = ::testing::TempDir() + "copperpoint_adapter_XXXXXX";
   if (mkdtemp(base.data()) == nullptr) return {};
   std::ofstream(base + "/in", std::ios::binary) << input;
   const std::string command =
@@ -122,4 +122,4 @@
 }
 
 }  // namespace
-}  // namespace brackenspoke
+}  // namespace copperpoint
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // The module's decisions, each at its boundary. Events are written out; no bench is needed.
-#include "brackenspoke/balancer.h"
+#include "copperpoint/balancer.h"
 
 #include <gtest/gtest.h>
 
@@ -18,7 +18,7 @@
 
 #include "harness.h"
 
-namespace brackenspoke {
+namespace copperpoint {
 namespace {
 
 using testing::At;
@@ -1246,4 +1246,4 @@
 }
 
 }  // namespace
-}  // namespace brackenspoke
+}  // namespace copperpoint
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // The codec against frames written out by hand.
-#include "codec.h"
+#include "adapter/codec.h"
 
 #include <gtest/gtest.h>
 
@@ -10,10 +10,10 @@
 
 #include "hex.h"
 
-namespace brackenspoke::adapter {
+namespace copperpoint::adapter {
 namespace {
 
-using brackenspoke::testing::Hex;
+using copperpoint::testing::Hex;
 
 Batch Read(const std::string& bytes) {
   std::istringstream in(bytes);
@@ -174,4 +174,4 @@
 }
 
 }  // namespace
-}  // namespace brackenspoke::adapter
+}  // namespace copperpoint::adapter
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // A Balancer under test, its clock, and short ways to say what happens.
-#ifndef BRACKENSPOKE_TESTS_HARNESS_H_
-#define BRACKENSPOKE_TESTS_HARNESS_H_
+#ifndef COPPERPOINT_TESTS_HARNESS_H_
+#define COPPERPOINT_TESTS_HARNESS_H_
 
 #include <map>
 #include <optional>
@@ -11,9 +11,9 @@
 #include <variant>
 #include <vector>
 
-#include "brackenspoke/balancer.h"
+#include "copperpoint/balancer.h"
 
-namespace brackenspoke::testing {
+namespace copperpoint::testing {
 
 inline TimePoint At(double ms) { return TimePoint(Duration(ms)); }
 
@@ -126,6 +126,6 @@
   std::map<RequestId, int> attempts_;
 };
 
-}  // namespace brackenspoke::testing
+}  // namespace copperpoint::testing
 
-#endif  // BRACKENSPOKE_TESTS_HARNESS_H_
+#endif  // COPPERPOINT_TESTS_HARNESS_H_
--- a/tests/hex.h
+++ b/tests/hex.h
@@ -1,11 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
-#ifndef BRACKENSPOKE_TESTS_HEX_H_
-#define BRACKENSPOKE_TESTS_HEX_H_
+#ifndef COPPERPOINT_TESTS_HEX_H_
+#define COPPERPOINT_TESTS_HEX_H_
 
 #include <string>
 #include <string_view>
 
-namespace brackenspoke::testing {
+namespace copperpoint::testing {
 
 // Bytes from hexadecimal digits; blanks are for the reader.
 inline std::string Hex(std::string_view text) {
@@ -19,6 +19,6 @@
   return bytes;
 }
 
-}  // namespace brackenspoke::testing
+}  // namespace copperpoint::testing
 
-#endif  // BRACKENSPOKE_TESTS_HEX_H_
+#endif  // COPPERPOINT_TESTS_HEX_H_
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -2,8 +2,8 @@
 //
 // A proxy on loopback sockets with backends and a discovery that do as the test says. Everything waits for
 // events; the only time limit is the one after which a test is given up.
-#ifndef BRACKENSPOKE_TESTS_LOOPBACK_H_
-#define BRACKENSPOKE_TESTS_LOOPBACK_H_
+#ifndef COPPERPOINT_TESTS_LOOPBACK_H_
+#define COPPERPOINT_TESTS_LOOPBACK_H_
 
 #include <stdlib.h>
 
@@ -29,9 +29,9 @@
 #include <utility>
 #include <vector>
 
-#include "proxy.h"
+#include "proxy/proxy.h"
 
-namespace brackenspoke::testing {
+namespace copperpoint::testing {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -414,6 +414,6 @@
   return request.replace(from, request.find("\r\n", from) - from, id);
 }
 
-}  // namespace brackenspoke::testing
+}  // namespace copperpoint::testing
 
-#endif  // BRACKENSPOKE_TESTS_LOOPBACK_H_
+#endif  // COPPERPOINT_TESTS_LOOPBACK_H_
--- a/tests/operation_test.cpp
+++ b/tests/operation_test.cpp
@@ -7,12 +7,12 @@
 #include <fstream>
 #include <sstream>
 
-#include "disabled.h"
-#include "lifecycle.h"
 #include "loopback.h"
-#include "operator.h"
+#include "proxy/control/disabled.h"
+#include "proxy/control/lifecycle.h"
+#include "proxy/control/operator.h"
 
-namespace brackenspoke::testing {
+namespace copperpoint::testing {
 namespace {
 
 using proxy::DisabledBackends;
@@ -232,4 +232,4 @@
 }
 
 }  // namespace
-}  // namespace brackenspoke::testing
+}  // namespace copperpoint::testing
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -14,7 +14,7 @@
 
 #include "loopback.h"
 
-namespace brackenspoke::testing {
+namespace copperpoint::testing {
 namespace {
 
 // The program as a child, with what it writes to standard error.
@@ -69,7 +69,7 @@
 class ConfigFile {
  public:
   explicit ConfigFile(const std::string& text) {
-    char name[] = "/tmp/kestrelline-test-XXXXXX";
+    char name[] = "/tmp/copperpoint-test-XXXXXX";
     close(mkstemp(name));
     path = name;
     std::ofstream(path) << text;
@@ -343,4 +343,4 @@
 }
 
 }  // namespace
-}  // namespace brackenspoke::testing
+}  // namespace copperpoint::testing
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // The proxy over loopback sockets.
-#include "proxy.h"
+#include "proxy/proxy.h"
 
 #include <gtest/gtest.h>
 
@@ -9,7 +9,7 @@
 
 #include "loopback.h"
 
-namespace brackenspoke::testing {
+namespace copperpoint::testing {
 namespace {
 
 struct Site {
@@ -1026,4 +1026,4 @@
 }
 
 }  // namespace
-}  // namespace brackenspoke::testing
+}  // namespace copperpoint::testing
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -12,7 +12,7 @@
 
 #include "harness.h"
 
-namespace brackenspoke {
+namespace copperpoint {
 namespace {
 
 using testing::At;
@@ -277,4 +277,4 @@
 }
 
 }  // namespace
-}  // namespace brackenspoke
+}  // namespace copperpoint
--- a/tests/sample_settings.h
+++ b/tests/sample_settings.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
-#ifndef BRACKENSPOKE_TESTS_SAMPLE_SETTINGS_H_
-#define BRACKENSPOKE_TESTS_SAMPLE_SETTINGS_H_
+#ifndef COPPERPOINT_TESTS_SAMPLE_SETTINGS_H_
+#define COPPERPOINT_TESTS_SAMPLE_SETTINGS_H_
 
-namespace brackenspoke::testing {
+namespace copperpoint::testing {
 
 inline constexpr char kSampleSettings[] = R"(
 balancers=2
@@ -40,6 +40,6 @@
 zone=0
 )";
 
-}  // namespace brackenspoke::testing
+}  // namespace copperpoint::testing
 
-#endif  // BRACKENSPOKE_TESTS_SAMPLE_SETTINGS_H_
+#endif  // COPPERPOINT_TESTS_SAMPLE_SETTINGS_H_
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "settings.h"
+#include "adapter/settings.h"
 
 #include <gtest/gtest.h>
 
@@ -7,10 +7,10 @@
 
 #include "sample_settings.h"
 
-namespace brackenspoke::adapter {
+namespace copperpoint::adapter {
 namespace {
 
-using brackenspoke::testing::kSampleSettings;
+using copperpoint::testing::kSampleSettings;
 
 std::string Without(const std::string& key) {
   std::string text(kSampleSettings);
@@ -90,4 +90,4 @@
 }
 
 }  // namespace
-}  // namespace brackenspoke::adapter
+}  // namespace copperpoint::adapter
