One command line, an operator's file that is checked, and a log of named events

The proxy was a bare program with constants that an operator could not change and a log of loose sentences.

copperpoint has sub-commands (CLI11): serve, config check|show|reference, version, with exit codes 0, 1 and 2. The proxy's patience, its shares of the platform's means and its waits in an upgrade are keys; a file refused at SIGHUP leaves the old one in force.

The platform's start changes only by the word serve.

--- /dev/null
+++ b/src/cli/commands.h
@@ -0,0 +1,24 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The sub-commands of `copperpoint`, a file each. A command's callback sets the exit code; what it throws is
+// told by main in one line a fault.
+#ifndef COPPERPOINT_CLI_COMMANDS_H_
+#define COPPERPOINT_CLI_COMMANDS_H_
+
+#include <CLI/App.hpp>
+
+namespace copperpoint::cli {
+
+enum ExitCode {
+  kDone = 0,
+  kFault = 1,  // the run found a fault or a broken rule, or could not go on
+  kUsage = 2,  // wrong usage or configuration
+};
+
+void AddServe(CLI::App& app);
+void AddConfig(CLI::App& app);
+void AddVersion(CLI::App& app);
+
+}  // namespace copperpoint::cli
+
+#endif  // COPPERPOINT_CLI_COMMANDS_H_
--- a/src/proxy/config/config.cpp
+++ b/src/proxy/config/config.cpp
@@ -119,10 +119,15 @@
 }  // namespace
 
 Config ParseConfig(std::string_view text, const Environment& env) {
-  const json root = json::parse(text, nullptr, /*allow_exceptions=*/false);
-  if (!root.is_object()) throw BadConfig("the configuration is no JSON object");
   try {
+    const json root = json::parse(text);
+    if (!root.is_object()) throw BadConfig("the configuration is no JSON object");
     return Read(root, env);
+  } catch (const json::parse_error& error) {
+    const std::string_view before = text.substr(0, error.byte > 0 ? error.byte - 1 : 0);
+    const auto line = std::count(before.begin(), before.end(), '\n') + 1;
+    const std::size_t column = before.size() - (before.rfind('\n') + 1) + 1;
+    throw BadConfig(std::to_string(line) + ":" + std::to_string(column) + ": the configuration is no JSON");
   } catch (const adapter::BadSettings& error) {
     throw BadConfig(error.what());
   } catch (const json::exception& error) {
@@ -136,7 +141,11 @@
   std::ifstream file(path, std::ios::binary);
   if (!file) throw BadConfig("cannot read ROUTER_CONFIG: " + std::string(path));
   const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-  return ParseConfig(text, env);
+  try {
+    return ParseConfig(text, env);
+  } catch (const BadConfig& error) {
+    throw BadConfig(std::string(path) + ": " + error.what());
+  }
 }
 
 Config ReloadConfig(const Environment& env) {
--- a/src/proxy/config/config.h
+++ b/src/proxy/config/config.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "copperpoint/balancer.h"
+#include "proxy/config/operating.h"
 #include "proxy/discovery/members.h"
 
 namespace copperpoint::proxy {
@@ -25,22 +26,6 @@
   using std::runtime_error::runtime_error;
 };
 
-// How long things are waited for.
-struct Patience {
-  using Ms = std::chrono::milliseconds;
-  Ms whole_request{2500};  // from a connection's start, or a next request's first byte, to its head's last
-  Ms body_grace{1200};     // for a body, beyond what it takes at the least rate
-  Ms kept{90000};          // for a client's next request
-  Ms spare{2000};          // after which a connection with no request open may make room for others
-  Ms silent{250};          // the same of one that never sent anything
-  Ms answer_taken{10000};  // for a client to take its answer
-  Ms drained{1000};        // for a client to close after its last answer
-  Ms answer_whole{100};    // without a byte of an answer that has begun and is held whole
-  Ms stalled{5000};        // without a byte of a large body from or to a backend
-  Ms rest{2};              // before a connection to a backend is used again
-  Ms forgotten{900000};    // after which nothing is known of a backend that has gone
-};
-
 struct Config {
   std::string name;
   boost::asio::ip::tcp::endpoint listen, discovery;
@@ -54,6 +39,8 @@
   Duration connect_timeout{250};
   Duration conn_idle{15000};  // backends close what stands idle for this long
   Patience patience;
+  Shares shares;
+  Upgrade upgrade;
   MemberList known;
 };
 
@@ -61,7 +48,8 @@
 using Environment = std::function<const char*(const char*)>;
 Config ParseConfig(std::string_view text, const Environment& env);
 
-// Reads the file that ROUTER_CONFIG names.
+// Reads the file that ROUTER_CONFIG names. BadConfig names that file, and line and column where the JSON is
+// broken.
 Config LoadConfig(const Environment& env);
 
 // The same, for a process that runs: its environment is that of its start, so the file, which has been
--- /dev/null
+++ b/src/proxy/config/operating.cpp
@@ -0,0 +1,98 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "proxy/config/operating.h"
+
+#include "config/show.h"
+
+namespace copperpoint::proxy {
+namespace {
+
+constexpr double kHour = 3600 * 1000;
+
+constexpr char kHead[] = R"(# The operator's file
+
+`copperpoint serve --config FILE` reads it; `deploy/copperpoint.toml` is one to start from. It is TOML. Every key
+is optional, and without the file each has the default below. What the platform tells a proxy (name, addresses,
+limits, classes, accounts) stays in the platform's JSON.
+
+    copperpoint config check deploy/copperpoint.toml     # every fault, with file, line, column and key
+    copperpoint config show deploy/copperpoint.toml      # the values that would be in force
+    copperpoint config reference                         # this page
+
+Unknown keys, wrong types and values out of range are refused, all of them at once, and the program does not start.
+On SIGHUP the file is read again: `log` and `patience` take effect at once, `shares` and `upgrade` from the next start
+on. A file that is refused then leaves the old values in force, and the log has an event `configuration_refused` for
+each fault.
+)";
+
+}  // namespace
+
+void Patience::Describe(config::Visitor& v) {
+  v.Millis("whole_request_ms", whole_request,
+           {.text = "for a request's head, from the connection's start or the request's first byte",
+            .least = 10,
+            .most = kHour});
+  v.Millis("body_grace_ms", body_grace,
+           {.text = "for a body, beyond what it takes at `shares.least_body_rate`", .most = kHour});
+  v.Millis("kept_ms", kept, {.text = "for a client's next request", .least = 1, .most = 24 * kHour});
+  v.Millis("spare_ms", spare,
+           {.text = "after which a connection with no request open may make room for others", .most = kHour});
+  v.Millis("silent_ms", silent, {.text = "the same of a connection that never sent anything", .most = kHour});
+  v.Millis("answer_taken_ms", answer_taken,
+           {.text = "for a client to take its answer", .least = 10, .most = kHour});
+  v.Millis("drained_ms", drained, {.text = "for a client to close after its last answer", .most = kHour});
+  v.Millis("answer_whole_ms", answer_whole,
+           {.text = "without a byte of a backend's answer that has begun and is held whole",
+            .least = 1,
+            .most = kHour});
+  v.Millis("stalled_ms", stalled,
+           {.text = "without a byte of a large body from or to a backend", .least = 10, .most = kHour});
+  v.Millis(
+      "rest_ms", rest,
+      {.text = "before a connection to a backend is used again: what comes late on it shows", .most = kHour});
+  v.Millis(
+      "forgotten_ms", forgotten,
+      {.text = "after which nothing is known of a backend that has gone", .least = 600000, .most = 1e10});
+}
+
+void Shares::Describe(config::Visitor& v) {
+  v.Number(
+      "clients", clients,
+      {.text = "share of the descriptors for clients; backends have the rest", .least = 0.1, .most = 0.9});
+  v.Number(
+      "bodies", bodies,
+      {.text = "share of the memory for clients' bodies that are held whole", .least = 0.01, .most = 0.8});
+  v.Whole("kept_body", kept_body,
+          {.text = "most of a request's body that is held whole, where there is room",
+           .unit = "bytes",
+           .least = 65536,
+           .most = 33.0 * 1024 * 1024});
+  v.Whole("least_body_rate", least_body_rate,
+          {.text = "a client that sends its body more slowly is cut off",
+           .unit = "bytes/s",
+           .least = 1,
+           .most = 1e9});
+  v.Millis("refusal_ms", refusal,
+           {.text = "`Retry-After` of a refusal for want of this process's own means", .most = kHour});
+}
+
+void Upgrade::Describe(config::Visitor& v) {
+  v.Millis(
+      "list_ms", list,
+      {.text = "a new process waits this long for discovery's list before it takes over", .most = 60000});
+  v.Millis("listener_ms", listener,
+           {.text = "and this long for the listener of the process before it", .least = 1, .most = 60000});
+}
+
+void Operating::Describe(config::Visitor& v) {
+  v.Section("log", "What is written to standard error. `--log-level` and `--log-format` go before it.", log);
+  v.Section("patience", "How long things are waited for.", patience);
+  v.Section("shares", "How the means that the platform allows are divided.", shares);
+  v.Section("upgrade", "While another process of the same proxy still serves.", upgrade);
+}
+
+std::string ConfigurationPage() {
+  Operating defaults;
+  return kHead + config::ShowReference([&](config::Visitor& v) { defaults.Describe(v); });
+}
+
+}  // namespace copperpoint::proxy
--- a/src/proxy/control/disabled.cpp
+++ b/src/proxy/control/disabled.cpp
@@ -75,8 +75,7 @@
 
 }  // namespace
 
-DisabledBackends::DisabledBackends(std::string file, Note note)
-    : file_(std::move(file)), note_(std::move(note)) {
+DisabledBackends::DisabledBackends(std::string file, log::Logger& log) : file_(std::move(file)), log_(log) {
   Reread();
 }
 
@@ -118,7 +117,7 @@
   return list;
 }
 
-MemberList DisabledBackends::Take(std::set<std::string> ids, std::string_view who) {
+MemberList DisabledBackends::Take(std::set<std::string> ids, bool from_file) {
   std::vector<std::string> changed;
   std::set_symmetric_difference(ids.begin(), ids.end(), ids_.begin(), ids_.end(),
                                 std::back_inserter(changed));
@@ -127,7 +126,8 @@
   changes.revision = revision_;
   for (const std::string& id : changed) {
     const bool out = ids_.contains(id);
-    note_("backend " + id + (out ? " disabled by " : " enabled by ") + std::string(who));
+    log_.Info(out ? "backend_disabled" : "backend_enabled",
+              {{"backend", id}, {"by", "operator"}, {"from_file", from_file}});
     const auto found = listed_.find(id);
     if (found == listed_.end()) continue;
     changes.members.push_back(found->second);
@@ -152,7 +152,7 @@
     if (out) ids.insert(id);
     if (!out) ids.erase(id);
   }
-  *changes = Take(std::move(ids), "operator");
+  *changes = Take(std::move(ids), /*from_file=*/false);
   return Verdict::kDone;
 }
 
@@ -172,10 +172,10 @@
   if (seen_ == "none") return {};
   auto ids = Load();
   if (!ids) {
-    note_("disabled backends: " + file_ + " cannot be read or is no list of ids; ignored");
+    log_.Error("disabled_file_ignored", {{"file", file_}, {"reason", "unreadable, or no list of ids"}});
     return {};
   }
-  return Take(std::move(*ids), "operator, as stored");
+  return Take(std::move(*ids), /*from_file=*/true);
 }
 
 }  // namespace copperpoint::proxy
--- a/src/proxy/control/disabled.h
+++ b/src/proxy/control/disabled.h
@@ -6,13 +6,13 @@
 #ifndef COPPERPOINT_PROXY_CONTROL_DISABLED_H_
 #define COPPERPOINT_PROXY_CONTROL_DISABLED_H_
 
-#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 
+#include "log/log.h"
 #include "proxy/discovery/members.h"
 
 namespace copperpoint::proxy {
@@ -20,10 +20,9 @@
 class DisabledBackends {
  public:
   enum class Verdict { kDone, kUnknown, kNotKept };
-  using Note = std::function<void(const std::string&)>;
 
   // `file` keeps the set; empty: it lasts as long as this process.
-  DisabledBackends(std::string file, Note note);
+  DisabledBackends(std::string file, log::Logger& log);
 
   // What the rest of the proxy is to see of a list; a whole one names everything there is.
   MemberList Pass(MemberList list, bool whole);
@@ -42,10 +41,10 @@
   Verdict Change(const std::string& id, bool out, MemberList* changes);
   std::optional<std::set<std::string>> Load();
   bool Store(const std::set<std::string>& ids);
-  MemberList Take(std::set<std::string> ids, std::string_view who);
+  MemberList Take(std::set<std::string> ids, bool from_file);
 
   const std::string file_;
-  Note note_;
+  log::Logger& log_;
   std::set<std::string> ids_;
   std::map<std::string, Member> listed_;  // as discovery has it
   std::uint64_t revision_ = 0;
--- a/src/proxy/control/lifecycle.cpp
+++ b/src/proxy/control/lifecycle.cpp
@@ -28,7 +28,7 @@
   if (stopping_) return false;
   const State before = state();
   change();
-  if (state() != before) note_(std::string("state: ") + NameOf(before) + " -> " + NameOf(state()));
+  if (state() != before) log_.Info("state_changed", {{"from", NameOf(before)}, {"to", NameOf(state())}});
   return true;
 }
 
--- a/src/proxy/control/lifecycle.h
+++ b/src/proxy/control/lifecycle.h
@@ -5,17 +5,14 @@
 #ifndef COPPERPOINT_PROXY_CONTROL_LIFECYCLE_H_
 #define COPPERPOINT_PROXY_CONTROL_LIFECYCLE_H_
 
-#include <functional>
-#include <string>
+#include "log/log.h"
 
 namespace copperpoint::proxy {
 
 class Lifecycle {
  public:
   enum class State { kStarting, kReady, kDrained, kStopping };
-  using Note = std::function<void(const std::string&)>;
-
-  explicit Lifecycle(Note note) : note_(std::move(note)) {}
+  explicit Lifecycle(log::Logger& log) : log_(log) {}
 
   State state() const;
   bool Ready() const { return state() == State::kReady; }
@@ -30,7 +27,7 @@
   template <typename Change>
   bool Move(Change change);
 
-  Note note_;
+  log::Logger& log_;
   bool started_ = false, drained_ = false, stopping_ = false;
 };
 
--- a/src/proxy/data/backends.h
+++ b/src/proxy/data/backends.h
@@ -63,6 +63,7 @@
             std::shared_ptr<Upload> upload = nullptr);
 
   void SetLimit(std::size_t connections) { limits_.connections = connections; }
+  void SetPatience(const Patience& patience) { limits_.patience = patience; }
   std::size_t connections() const { return open_; }
   std::size_t opened() const { return opened_; }  // since the start
   std::size_t known() const { return backends_.size(); }
--- a/src/proxy/data/clients.cpp
+++ b/src/proxy/data/clients.cpp
@@ -28,10 +28,7 @@
 constexpr std::chrono::milliseconds kPause{50};       // after a failed accept
 constexpr std::chrono::milliseconds kHalfRead{1500};  // at the stop, for the rest of a request to come
 constexpr std::chrono::milliseconds kLookAgain{10};
-constexpr double kBodyShare = 0.25;            // of the memory, for clients' bodies
-constexpr std::size_t kLeastRate = 48 * 1000;  // bytes a second of a body; slow but honest clients send at 64
-constexpr std::size_t kMostKept = 1024 * 1024;  // of a request's body, where there is memory
-constexpr std::size_t kCopies = 2;              // of a body while it is read
+constexpr std::size_t kCopies = 2;  // of a body while it is read
 constexpr std::chrono::milliseconds kSweep{50};
 constexpr std::chrono::milliseconds kFresh{500};  // while drained, for a new connection to say something
 constexpr double kRoomy = 0.4;  // of the connections, up to which those that stand idle are kept
@@ -221,15 +218,17 @@
   // A body of middling size is held whole as well while there is memory for it: until it is here no backend's
   // place is taken, and it can be sent again.
   bool KeepMore() {
-    if (may_keep_ >= kMostKept || parser_->content_length().value_or(0) > kMostKept) return false;
+    const auto most = static_cast<std::size_t>(owner_->config_.shares.kept_body);
+    if (may_keep_ >= most || parser_->content_length().value_or(0) > most) return false;
     if (!owner_->Reserve(kMostWhole)) return false;
     reserved_ += kMostWhole;
     may_keep_ += kMostWhole;
     return true;
   }
 
-  static Steady::duration TimeFor(std::size_t bytes) {
-    return std::chrono::milliseconds(bytes * 1000 / kLeastRate);
+  Steady::duration TimeFor(std::size_t bytes) const {
+    return std::chrono::milliseconds(bytes * 1000 /
+                                     static_cast<std::size_t>(owner_->config_.shares.least_body_rate));
   }
 
   // Over all its pieces, an upload may take a grace more than it does at the least rate. Time in which nobody
@@ -453,7 +452,7 @@
     : io_(io),
       config_(config),
       most_connections_(most_connections),
-      most_bytes_(static_cast<std::size_t>(config.memory_mb * kBodyShare * 1024 * 1024)),
+      most_bytes_(static_cast<std::size_t>(config.memory_mb * config.shares.bodies * 1024 * 1024)),
       handler_(handler),
       acceptor_(io),
       pause_(io),
--- a/src/proxy/discovery/discovery.cpp
+++ b/src/proxy/discovery/discovery.cpp
@@ -10,10 +10,11 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <cstdio>
 #include <optional>
 #include <utility>
 
+#include "log/log.h"
+
 namespace copperpoint::proxy {
 namespace {
 
@@ -181,7 +182,7 @@
   std::string why;
   const auto list = ParseMembers(line, &why);
   if (!list) {
-    std::fprintf(stderr, "discovery: garbled line: %s\n", why.c_str());
+    log::Global().Warn("discovery_garbled", {{"reason", why}});
     return false;
   }
   if (from == next_.get()) {
@@ -192,7 +193,7 @@
     moving_ = false;
   }
   backoff_ = std::chrono::milliseconds(0);
-  if (std::exchange(told_, false)) std::fprintf(stderr, "discovery: back\n");
+  if (std::exchange(told_, false)) log::Global().Info("discovery_back");
   // A change older than the list that it would change must not undo it.
   if (!list->complete && list->revision < options_.revision) return true;
   options_.revision = list->revision;
@@ -203,7 +204,7 @@
 void Discovery::OnEnd(Stream* from, const std::string& why) {
   // After a move nothing is lost with the old watch: only the new one is tried again.
   if (moving_ && from == stream_.get()) return stream_.reset();
-  if (!std::exchange(told_, true)) std::fprintf(stderr, "discovery: away: %s\n", why.c_str());
+  if (!std::exchange(told_, true)) log::Global().Warn("discovery_away", {{"reason", why}});
   if (moving_) {
     next_.reset();
     return RetryLater();
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -3,11 +3,12 @@
 
 #include <algorithm>
 #include <cctype>
-#include <cstdio>
 #include <nlohmann/json.hpp>
 #include <unordered_set>
 #include <utility>
 
+#include "log/log.h"
+
 namespace copperpoint::proxy {
 namespace {
 
@@ -16,14 +17,10 @@
 // those with a request open are a half; the others have to make room when they stand idle.
 constexpr int kOtherDescriptors = 24;
 constexpr int kOperatorDescriptors = static_cast<int>(Operator::kMostConnections) + 2;
-constexpr double kClientShare = 0.6;
 constexpr TimePoint kUnarmed{Duration(1e300)};
-constexpr Duration kLocalRest{1000};  // for clients turned away for want of descriptors
-constexpr Duration kStopGrace{600};   // connections go on coming for up to 400 ms after SIGTERM
+constexpr Duration kStopGrace{600};  // connections go on coming for up to 400 ms after SIGTERM
 
 constexpr std::chrono::milliseconds kLookForDisabled{100};
-// While another process serves: for discovery's first answer, and for the other process's.
-constexpr std::chrono::milliseconds kFreshList{1500}, kHandover{1000};
 constexpr int kLeastPeers = 32;  // descriptors for clients and backends, however many another process holds
 
 int OwnDescriptors(const Config& config) {
@@ -33,15 +30,13 @@
 
 Backends::Limits BackendLimits(const Config& config) {
   return {config.connect_timeout, config.conn_idle,
-          static_cast<std::size_t>(PeerDescriptors(config) * (1 - kClientShare)), config.patience};
+          static_cast<std::size_t>(PeerDescriptors(config) * (1 - config.shares.clients)), config.patience};
 }
 
 std::size_t ClientLimit(const Config& config) {
-  return static_cast<std::size_t>(PeerDescriptors(config) * kClientShare);
+  return static_cast<std::size_t>(PeerDescriptors(config) * config.shares.clients);
 }
 
-void Note(const std::string& text) { std::fprintf(stderr, "%s\n", text.c_str()); }
-
 // One folder may serve proxies of several names.
 std::string StateFile(const Config& config, const char* what) {
   if (config.state_folder.empty()) return "";
@@ -68,8 +63,8 @@
     : io_(io),
       config_(std::move(config)),
       balancer_(config_.settings, config_.seed),
-      lifecycle_(Note),
-      disabled_(StateFile(config_, "disabled.json"), Note),
+      lifecycle_(log::Global()),
+      disabled_(StateFile(config_, "disabled.json"), log::Global()),
       armed_for_(kUnarmed),
       timer_(io),
       look_(io),
@@ -85,8 +80,8 @@
   if (!config_.settings.must_ask_for_list) discovery_->Watch();
   predecessor_ = HandoverClient::Connect(io, StateFile(config_, "handover.sock"));
   if (predecessor_) {
-    Note("hand-over: another process serves; waiting for discovery's list first");
-    TakeOverAfter(kFreshList);
+    log::Global().Info("upgrade_waits_for_list", {{"at_most_ms", config_.upgrade.list.count()}});
+    TakeOverAfter(config_.upgrade.list);
   } else {
     Serve(-1);
   }
@@ -96,7 +91,11 @@
 
 Proxy::~Proxy() = default;
 
-void Proxy::Reload(const Config& config) { discovery_->Move(config.discovery); }
+void Proxy::Reload(const Config& config) {
+  config_.patience = config.patience;  // of the clients too, who look here
+  backends_->SetPatience(config.patience);
+  discovery_->Move(config.discovery);
+}
 
 void Proxy::Stop(std::function<void()> done) {
   lifecycle_.Stop();
@@ -159,7 +158,7 @@
     successor_ = std::make_unique<HandoverServer>(
         io_, StateFile(config_, "handover.sock"), config_.listen, [this] { return GiveOver(); },
         [this] {
-          Note("hand-over: the next process has gone; this one serves on");
+          log::Global().Warn("upgrade_next_gone");
           clients_->TakeBack();
           backends_->SetLimit(BackendLimits(config_).connections);
         });
@@ -180,11 +179,14 @@
 void Proxy::TakeOver() {
   if (std::exchange(asked_for_listener_, true) || lifecycle_.state() == Lifecycle::State::kStopping) return;
   predecessor_->Take(
-      config_.listen, kHandover,
+      config_.listen, config_.upgrade.listener,
       [this](std::optional<Gift> gift) {
         if (lifecycle_.state() == Lifecycle::State::kStopping) return;
-        Note(gift ? "hand-over: the clients' listener is this process's now"
-                  : "hand-over: no answer from the other process; listening beside it");
+        if (gift) {
+          log::Global().Info("upgrade_listener_taken");
+        } else {
+          log::Global().Warn("upgrade_listens_beside", {{"waited_ms", config_.upgrade.listener.count()}});
+        }
         Serve(gift ? gift->listener : -1);
         if (gift) OnGift(gift->text);
       },
@@ -195,7 +197,7 @@
           LeaveTo(n->get<int>());
       },
       [this] {
-        Note("hand-over: the process before has gone");
+        log::Global().Info("upgrade_before_gone");
         LeaveTo(0);
       });
 }
@@ -204,14 +206,14 @@
 void Proxy::LeaveTo(int other_descriptors) {
   const double rest =
       std::max<double>(kLeastPeers, PeerDescriptors(config_) - std::max(0, other_descriptors));
-  clients_->SetLimit(static_cast<std::size_t>(rest * kClientShare));
-  backends_->SetLimit(static_cast<std::size_t>(rest * (1 - kClientShare)));
+  clients_->SetLimit(static_cast<std::size_t>(rest * config_.shares.clients));
+  backends_->SetLimit(static_cast<std::size_t>(rest * (1 - config_.shares.clients)));
 }
 
 std::optional<Gift> Proxy::GiveOver() {
   const auto listener = clients_->HandOver();
   if (!listener) return std::nullopt;
-  Note("hand-over: the next process takes the clients' listener");
+  log::Global().Info("upgrade_listener_given");
   backends_->SetLimit(std::max<std::size_t>(backends_->connections(), 1));
   return Gift{*listener, LearntText()};
 }
@@ -243,7 +245,7 @@
                                    std::max(0.0, entry.at("cold_work").get<double>())});
     }
   } catch (const nlohmann::json::exception& error) {
-    Note(std::string("hand-over: what the process before has learnt cannot be read: ") + error.what());
+    log::Global().Warn("upgrade_learnt_unreadable", {{"reason", error.what()}});
   }
   if (!inherited.servers.empty()) Feed(std::move(inherited));
 }
@@ -428,7 +430,7 @@
     // Over a limit of this process: no backend is to blame, and another attempt would fare no better.
     if (const auto responder = Conclude(request)) {
       if (attempt == 0) {
-        responder->Refused(kLocalRest);
+        responder->Refused(config_.shares.refusal);
       } else {
         responder->Failed();
       }
@@ -436,7 +438,8 @@
   } else if (found != pending_.end() && found->second.upload && found->second.upload->consumed) {
     // Some of the body has left for good: there is no other attempt.
     const bool ran = result.outcome != Outcome::kConnectFailed && result.outcome != Outcome::kFull;
-    if (const auto responder = Conclude(request)) ran ? responder->Failed() : responder->Refused(kLocalRest);
+    if (const auto responder = Conclude(request))
+      ran ? responder->Failed() : responder->Refused(config_.shares.refusal);
   }
   end.settled = found == pending_.end() || !found->second.responder;
   ForgetIfOver(request);
@@ -474,7 +477,7 @@
 
 void Proxy::Do(const struct CloseIdle& action) { backends_->CloseIdle(action.server); }
 
-void Proxy::Do(const Log& action) { std::fprintf(stderr, "%s\n", action.text.c_str()); }
+void Proxy::Do(const Log& action) { log::Global().Info("decision", {{"text", action.text}}); }
 
 // Guards against a timer that the module thinks has not come yet: rounding may wake this a moment early, and
 // the module would not ask again.
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -37,8 +37,8 @@
   Proxy(boost::asio::io_context& io, Config config);
   ~Proxy() override;
 
-  // Takes over where discovery is from a configuration read anew; the rest of it holds from the next start
-  // on.
+  // Takes over from a configuration read anew where discovery is and how patient to be; the rest of it holds
+  // from the next start on.
   void Reload(const Config& config);
 
   // Serves what comes for a while yet; `done` is called when nothing is held any more.
--- /dev/null
+++ b/src/proxy/serve.cpp
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "proxy/serve.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <exception>
+#include <utility>
+
+#include "config/read.h"
+#include "proxy/config/operating.h"
+#include "proxy/proxy.h"
+
+namespace copperpoint::proxy {
+namespace {
+
+// A fault in one handler costs what that handler was about, not the proxy.
+void Run(boost::asio::io_context& io) {
+  for (;;) {
+    try {
+      io.run();
+      return;
+    } catch (const std::exception& error) {
+      log::Global().Error("handler_failed", {{"error", error.what()}});
+    }
+  }
+}
+
+void Refused(const std::string& fault) {
+  log::Global().Error("configuration_refused", {{"fault", fault}, {"in_force", "the one before"}});
+}
+
+void Reload(const ServeOptions& options, const Environment& env, Proxy& proxy) {
+  try {
+    log::Settings log;
+    proxy.Reload(Configure(options, ReloadConfig(env), &log));
+    log::Global().Set(log);
+    log::Global().Info("configuration_reloaded");
+  } catch (const config::BadFile& error) {
+    for (const config::Fault& fault : error.faults())
+      Refused(config::Describe(options.operators_file, fault));
+  } catch (const BadConfig& error) {
+    Refused(error.what());
+  }
+}
+
+void ReloadAtSignal(boost::asio::signal_set& signals, const ServeOptions& options, const Environment& env,
+                    Proxy& proxy) {
+  signals.async_wait([&](const boost::system::error_code& failed, int) {
+    if (failed) return;
+    ReloadAtSignal(signals, options, env, proxy);
+    Reload(options, env, proxy);
+  });
+}
+
+}  // namespace
+
+Config Configure(const ServeOptions& options, Config platform, log::Settings* log) {
+  Operating operating;
+  if (!options.operators_file.empty()) operating = config::Read<Operating>(options.operators_file);
+  *log = operating.log;
+  log->level = options.log_level.value_or(log->level);
+  log->format = options.log_format.value_or(log->format);
+  platform.patience = operating.patience;
+  platform.shares = operating.shares;
+  platform.upgrade = operating.upgrade;
+  return platform;
+}
+
+void Serve(const ServeOptions& options, const Environment& env) {
+  boost::asio::io_context io(1);
+  // Caught from before the proxy listens: one that is ready must not die of a signal.
+  boost::asio::signal_set ends(io, SIGTERM, SIGINT), reloads(io, SIGHUP);
+  log::Settings log;
+  Config config = Configure(options, LoadConfig(env), &log);
+  log::Global().Set(log);
+  Proxy proxy(io, std::move(config));
+  ends.async_wait([&](const boost::system::error_code& failed, int) {
+    if (!failed) proxy.Stop([&] { io.stop(); });
+  });
+  ReloadAtSignal(reloads, options, env, proxy);
+  Run(io);
+}
+
+}  // namespace copperpoint::proxy
--- /dev/null
+++ b/tests/cli_test.cpp
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "run_program.h"
+
+namespace copperpoint {
+namespace {
+
+using testing_support::Finished;
+using testing_support::TemporaryFolder;
+
+Finished Invoke(const std::string& arguments) { return testing_support::RunProgram(PROGRAM_PATH, arguments); }
+
+TEST(CommandLine, BareItPrintsTheHelp) {
+  const Finished run = Invoke("");
+  EXPECT_EQ(run.code, 0);
+  for (const char* command : {"serve", "config", "version"})
+    EXPECT_NE(run.out.find(command), std::string::npos);
+}
+
+TEST(CommandLine, EachCommandHasHelpWithAnExample) {
+  for (const char* command :
+       {"serve", "config", "config check", "config show", "config reference", "version"}) {
+    const Finished run = Invoke(std::string(command) + " --help");
+    EXPECT_EQ(run.code, 0) << command;
+    EXPECT_NE(run.out.find("Example: "), std::string::npos) << command;
+  }
+}
+
+TEST(CommandLine, WrongUsageIsOneLineAndExitCode2) {
+  for (const char* wrong :
+       {"swerve", "serve --conf x", "config", "config check", "serve --log-level loud", "version extra"}) {
+    const Finished run = Invoke(wrong);
+    EXPECT_EQ(run.code, 2) << wrong;
+    EXPECT_EQ(run.out, "") << wrong;
+    EXPECT_EQ(run.err.find("copperpoint: "), 0u) << wrong << ": " << run.err;
+    EXPECT_EQ(run.err.find('\n'), run.err.size() - 1) << wrong << ": " << run.err;
+  }
+}
+
+TEST(CommandLine, ABadFileIsOneLineAFaultAndExitCode2) {
+  const TemporaryFolder folder;
+  const std::string file =
+      folder.Write("bad.toml", "[log]\nlevel = \"loud\"\n[patience]\nkept_ms = 0\nrest = 1\n");
+  for (const std::string command : {"config check ", "config show ", "serve --config "}) {
+    const Finished run = Invoke(command + file);
+    EXPECT_EQ(run.code, 2) << command;
+    if (command[0] == 's') {  // the platform's file comes first, and there is none
+      EXPECT_EQ(run.err, "copperpoint: ROUTER_CONFIG is not set\n");
+      continue;
+    }
+    EXPECT_NE(run.err.find("copperpoint: " + file + ":2:9: log.level: 'loud' is none of"), std::string::npos)
+        << run.err;
+    EXPECT_NE(run.err.find(":4:11: patience.kept_ms: 0 is out of range"), std::string::npos) << run.err;
+    EXPECT_NE(run.err.find(":5:1: patience.rest: unknown key"), std::string::npos) << run.err;
+  }
+}
+
+TEST(CommandLine, WhatIsShownChecks) {
+  const TemporaryFolder folder;
+  const Finished shown = Invoke("config show " + folder.Write("good.toml", "[patience]\nkept_ms = 1234\n"));
+  EXPECT_EQ(shown.code, 0);
+  EXPECT_NE(shown.out.find("kept_ms = 1234"), std::string::npos) << shown.out;
+  const Finished checked = Invoke("config check " + folder.Write("shown.toml", shown.out));
+  EXPECT_EQ(checked.code, 0) << checked.err;
+}
+
+TEST(CommandLine, ThePlatformsFileIsCheckedToo) {
+  const TemporaryFolder folder;
+  const std::string file = folder.Write("platform.json", "{\n\"listen\": }");
+  const Finished run = Invoke("config check --platform " + file);
+  EXPECT_EQ(run.code, 2);
+  EXPECT_EQ(run.err, "copperpoint: " + file + ": 2:11: the configuration is no JSON\n");
+}
+
+TEST(CommandLine, TheVersionIsOneLine) {
+  const Finished run = Invoke("version");
+  EXPECT_EQ(run.code, 0);
+  EXPECT_EQ(run.out.find("copperpoint "), 0u);
+}
+
+}  // namespace
+}  // namespace copperpoint
--- /dev/null
+++ b/tests/run_program.h
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Runs a program to its end and keeps what it wrote.
+#ifndef COPPERPOINT_TESTS_RUN_PROGRAM_H_
+#define COPPERPOINT_TESTS_RUN_PROGRAM_H_
+
+#include <stdlib.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <string>
+
+namespace copperpoint::testing_support {
+
+// A folder that goes when this does.
+class TemporaryFolder {
+ public:
+  TemporaryFolder() {
+    std::string pattern = (std::filesystem::temp_directory_path() / "copperpoint-XXXXXX").string();
+    path_ = ::mkdtemp(pattern.data());
+  }
+  ~TemporaryFolder() { std::filesystem::remove_all(path_); }
+  std::string operator/(const std::string& name) const { return path_ + "/" + name; }
+  std::string Write(const std::string& name, const std::string& text) const {
+    std::ofstream(*this / name) << text;
+    return *this / name;
+  }
+
+ private:
+  std::string path_;
+};
+
+inline std::string ReadWhole(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+}
+
+struct Finished {
+  int code = -1;
+  std::string out, err;
+};
+
+// `arguments` as a shell would split them.
+inline Finished RunProgram(const std::string& program, const std::string& arguments) {
+  const TemporaryFolder folder;
+  const std::string command = "'" + program + "' " + arguments + " >'" + (folder / "out") + "' 2>'" +
+                              (folder / "err") + "' </dev/null";
+  const int status = std::system(command.c_str());
+  return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, ReadWhole(folder / "out"), ReadWhole(folder / "err")};
+}
+
+}  // namespace copperpoint::testing_support
+
+#endif  // COPPERPOINT_TESTS_RUN_PROGRAM_H_
--- /dev/null
+++ b/tests/schema_test.cpp
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "config/read.h"
+#include "config/show.h"
+
+namespace copperpoint::config {
+namespace {
+
+struct Item {
+  std::string name = "one";
+  double share = 0.5;
+  void Describe(Visitor& v) {
+    v.Word("name", name, {}, {.text = "its name"});
+    v.Number("share", share, {.text = "of the whole", .most = 1});
+  }
+};
+
+struct Sample {
+  double ratio = 0.25;
+  std::int64_t count = 3;
+  bool on = false;
+  std::string colour = "red";
+  std::vector<std::string> tags;
+  std::vector<Item> items;
+  Item inner;
+  void Describe(Visitor& v) {
+    v.Number("ratio", ratio, {.text = "a ratio", .unit = "ms", .least = 0.1, .most = 2});
+    v.Whole("count", count, {.text = "a count", .least = 1, .most = 10});
+    v.Flag("on", on, {.text = "a switch"});
+    v.Word("colour", colour, {"red", "green"}, {.text = "a colour"});
+    v.Words("tags", tags, {.text = "some tags"});
+    v.Section("inner", "An inner table.", inner);
+    v.Items("item", "Items.", items);
+    v.Check("count", count != 7, "seven is not wanted");
+  }
+};
+
+std::string FaultsOf(const std::string& text) {
+  try {
+    ReadFrom<Sample>(text, "f.toml");
+  } catch (const BadFile& error) {
+    return error.what();
+  }
+  return "";
+}
+
+TEST(Schema, AbsentKeysKeepTheirDefaults) {
+  const auto read = ReadFrom<Sample>("", "f.toml");
+  EXPECT_EQ(read.ratio, 0.25);
+  EXPECT_EQ(read.colour, "red");
+  EXPECT_TRUE(read.items.empty());
+}
+
+TEST(Schema, ReadsEveryKindOfKey) {
+  const auto read = ReadFrom<Sample>(
+      "ratio = 1\ncount = 4\non = true\ncolour = \"green\"\ntags = [\"a\", \"b\"]\n"
+      "[inner]\nshare = 0.75\n[[item]]\nname = \"x\"\n[[item]]\n",
+      "f.toml");
+  EXPECT_EQ(read.ratio, 1);
+  EXPECT_EQ(read.count, 4);
+  EXPECT_TRUE(read.on);
+  EXPECT_EQ(read.colour, "green");
+  EXPECT_EQ(read.tags, (std::vector<std::string>{"a", "b"}));
+  EXPECT_EQ(read.inner.share, 0.75);
+  ASSERT_EQ(read.items.size(), 2u);
+  EXPECT_EQ(read.items[0].name, "x");
+  EXPECT_EQ(read.items[1].name, "one");
+}
+
+TEST(Schema, NamesEveryFaultWithItsPlaceAtOnce) {
+  EXPECT_EQ(FaultsOf("ratio = 5\ncount = 1.5\n  colour = \"blue\"\n[inner]\nshar = 1\n"),
+            "f.toml:1:9: ratio: 5 is out of range: 0.1 to 2 ms\n"
+            "f.toml:2:9: count: a whole number is wanted, not a number with a fraction\n"
+            "f.toml:3:12: colour: 'blue' is none of red, green\n"
+            "f.toml:5:1: inner.shar: unknown key; known here: name, share");
+}
+
+TEST(Schema, WrongTypesAreNamed) {
+  EXPECT_EQ(FaultsOf("on = 1"), "f.toml:1:6: on: true or false is wanted, not a whole number");
+  EXPECT_EQ(FaultsOf("inner = 1"), "f.toml:1:9: inner: a table is wanted, not a whole number");
+  EXPECT_EQ(FaultsOf("item = [1]"), "f.toml:1:9: item: a table is wanted, not a whole number");
+  EXPECT_EQ(FaultsOf("tags = [1]"), "f.toml:1:9: tags: text is wanted, not a whole number");
+  EXPECT_EQ(FaultsOf("ratio = nan"), "f.toml:1:9: ratio: nan is out of range: 0.1 to 2 ms");
+  EXPECT_EQ(FaultsOf("colour = 1979-05-27"), "f.toml:1:10: colour: text is wanted, not a date or time");
+}
+
+TEST(Schema, FaultsInAnArrayOfTablesNameTheItem) {
+  EXPECT_EQ(FaultsOf("[[item]]\n[[item]]\nshare = 2\n"),
+            "f.toml:3:9: item[1].share: 2 is out of range: 0 to 1");
+}
+
+TEST(Schema, AStructsOwnChecksAreFaultsToo) {
+  EXPECT_EQ(FaultsOf("count = 7"), "f.toml:1:9: count: seven is not wanted");
+}
+
+TEST(Schema, BrokenSyntaxHasAPlace) {
+  const std::string faults = FaultsOf("ratio = 1\ncount = = 2\n");
+  EXPECT_EQ(faults.find("f.toml:2:"), 0u) << faults;
+}
+
+TEST(Schema, AFileThatIsNotThereIsAFault) { EXPECT_THROW(Read<Sample>("/nowhere/at/all.toml"), BadFile); }
+
+TEST(Schema, WhatIsShownReadsBack) {
+  auto sample = ReadFrom<Sample>("ratio = 0.3\n[[item]]\nname = \"q \\\"uote\\\"\"\n", "f.toml");
+  const std::string shown = ShowValues([&](Visitor& v) { sample.Describe(v); });
+  auto again = ReadFrom<Sample>(shown, "shown");
+  EXPECT_EQ(again.ratio, 0.3);
+  ASSERT_EQ(again.items.size(), 1u);
+  EXPECT_EQ(again.items[0].name, "q \"uote\"");
+  EXPECT_EQ(ShowValues([&](Visitor& v) { again.Describe(v); }), shown);
+}
+
+TEST(Schema, TheReferenceHasARowForEachKey) {
+  Sample sample;
+  const std::string page = ShowReference([&](Visitor& v) { sample.Describe(v); });
+  for (const char* row :
+       {"| `ratio` | `0.25` | 0.1 to 2 ms | a ratio |", "| `colour` | `\"red\"` | red, green |",
+        "## `[inner]`", "## `[[item]]`", "| `share` | `0.5` | 0 to 1 | of the whole |"})
+    EXPECT_NE(page.find(row), std::string::npos) << row << "\nin\n" << page;
+}
+
+}  // namespace
+}  // namespace copperpoint::config
