--- a/src/decision/balance.cpp
+++ b/src/decision/balance.cpp
@@ -7,6 +7,7 @@
 // marked "Exception" with the condition under which it acts; docs/design.md lists them all.
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -71,6 +72,8 @@
 constexpr int kMostVotes = 50;             // for the usual time of a try
 constexpr double kWarmWeight = 2;          // of a request's work, at a server that met its key lately
 constexpr Duration kKeyMemory{4000};       // how long a key sent to a server is taken to be warm there
+constexpr std::size_t kMostRanked = 64;    // servers that a pick ranks whole; of more it draws a sample
+constexpr int kSample = 24;                // of which, at 70% load, one in 5,000 has no idle server
 constexpr int kMostMisses = 8;             // held requests tried in a row without room for any
 constexpr double kMostWork = 1e6;          // ms; a larger hint is taken as this
 constexpr Duration kHousekeeping{100};     // rates are sampled this often
@@ -155,6 +158,7 @@
   ServerEntry entry;
   TimePoint gone_since{};
   int in_list = 0;      // the last complete list that named it
+  int in_subset = 0;    // the last subset that held it
   double own_work = 0;  // hinted, of this proxy, in flight
   int own_count = 0;
   OutlierDetector::Host health;
@@ -239,39 +243,55 @@
     return best;
   }
 
+  // The best of those looked at so far.
+  struct Choice {
+    Server* best = nullptr;
+    int rank = 0, ties = 0;
+    double score = 0;
+    double crossing = 0;  // work that a crossing counts as, for this pick
+    bool in_service = false;
+  };
+
+  // Ranks all, or on a large fleet a sample and the servers that met the key lately: of kSample drawn at
+  // random one is nearly always as good as the best, and a pick must not cost more the larger the fleet is.
+  // Where the sample has no room, all are looked at: never a request lost for want of luck.
   Server* PickFrom(const std::vector<ServerIndex>& from, const Request& r, const Permission& permission,
                    bool* in_service) {
-    const bool home_first = settings_.price_cross_zone > 0 && random_.Unit() < home_first_;
-    const double crossing = kCrossingWeight * settings_.price_cross_zone * request_work_.mean;
-    Server* best = nullptr;
-    int best_rank = 0;
-    double best_score = 0;
-    int ties = 0;
-    for (const ServerIndex index : from) {
-      Server& s = servers_[index];
-      if (!Usable(s) || (permission.group_of && !InGroup(r, *permission.group_of, s))) continue;
-      *in_service |= !s.health.ejected;
-      if (!FitsColdBudget(s, r.work)) {
-        if (MayLog(kCold))
-          LogLine("server " + std::to_string(s.entry.server) + " held back: cold, at " +
-                  std::to_string(static_cast<int>(100 * WarmShare(s))) + "% or more of its capacity");
-        continue;
-      }
-      const int rank = 2 * s.health.ejected + Tried(r, s);
-      const bool crosses = s.entry.zone != settings_.zone;
-      const double score =
-          s.own_work + kSlownessWeight * r.work * (SlownessOf(s) - 1) -
-          (r.key != 0 && key_memory_.Warm(r.key, IndexOf(s), now_) ? kWarmWeight * r.work : 0) +
-          (crosses && home_first ? crossing : 0);
-      if (best && (rank > best_rank || (rank == best_rank && score > best_score))) continue;
-      const bool tie = best && rank == best_rank && score == best_score;
-      ties = tie ? ties + 1 : 1;
-      if (tie && random_.Below(ties) != 0) continue;
-      best = &s;
-      best_rank = rank;
-      best_score = score;
-    }
-    return best && best_rank >= 2 && *in_service ? nullptr : best;
+    Choice choice;
+    choice.in_service = *in_service;
+    if (settings_.price_cross_zone > 0 && random_.Unit() < home_first_)
+      choice.crossing = kCrossingWeight * settings_.price_cross_zone * request_work_.mean;
+    if (from.size() > kMostRanked) {
+      for (int k = 0; k < kSample; ++k) Consider(from[random_.Below(from.size())], r, permission, &choice);
+      key_memory_.ForLatest(r.key, now_, [&](ServerIndex i) { Consider(i, r, permission, &choice); });
+      if (choice.best && choice.rank < 2) return choice.best;
+    }
+    for (const ServerIndex index : from) Consider(index, r, permission, &choice);
+    *in_service = choice.in_service;
+    return choice.best && choice.rank >= 2 && choice.in_service ? nullptr : choice.best;
+  }
+
+  void Consider(ServerIndex index, const Request& r, const Permission& permission, Choice* choice) {
+    Server& s = servers_[index];
+    if (!Usable(s) || (permission.group_of && !InGroup(r, *permission.group_of, s))) return;
+    choice->in_service |= !s.health.ejected;
+    if (!FitsColdBudget(s, r.work)) {
+      if (MayLog(kCold))
+        LogLine("server " + std::to_string(s.entry.server) + " held back: cold, at " +
+                std::to_string(static_cast<int>(100 * WarmShare(s))) + "% or more of its capacity");
+      return;
+    }
+    const int rank = 2 * s.health.ejected + Tried(r, s);
+    const double score = s.own_work + kSlownessWeight * r.work * (SlownessOf(s) - 1) -
+                         (r.key != 0 && key_memory_.Warm(r.key, index, now_) ? kWarmWeight * r.work : 0) +
+                         (s.entry.zone != settings_.zone ? choice->crossing : 0);
+    if (choice->best && (rank > choice->rank || (rank == choice->rank && score > choice->score))) return;
+    const bool tie = choice->best && rank == choice->rank && score == choice->score;
+    choice->ties = tie ? choice->ties + 1 : 1;
+    if (tie && random_.Below(choice->ties) != 0) return;
+    choice->best = &s;
+    choice->rank = rank;
+    choice->score = score;
   }
 
   // Exception, subsetting, where this proxy's own traffic is too thin to judge the whole fleet: it picks
@@ -294,8 +314,10 @@
     }
     AddArc(home, size);
     AddArc(away, size);
+    ++built_;
+    for (const ServerIndex i : subset_) servers_[i].in_subset = built_;
     for (const ServerIndex i : before) {
-      if (Usable(servers_[i]) && std::find(subset_.begin(), subset_.end(), i) == subset_.end())
+      if (Usable(servers_[i]) && servers_[i].in_subset != built_)
         out_->push_back(CloseIdle{servers_[i].entry.server});
     }
   }
@@ -733,35 +755,57 @@
       s.sent.Clear();
       s.turn_since = now_, s.turn_phase = random_.Unit();
     }
-    ring_.clear();
-    for (const Server& s : servers_) ring_.push_back(IndexOf(s));
-    std::sort(ring_.begin(), ring_.end(), [this](ServerIndex a, ServerIndex b) {
-      return std::pair(MixBits(servers_[a].entry.server), a) <
-             std::pair(MixBits(servers_[b].entry.server), b);
-    });
+    if (e.kind == ListKind::kDelta && e.entries.size() <= kMostRanked) {
+      for (const ServerEntry& entry : e.entries) JoinRing(index_[entry.server]);
+    } else {
+      ring_.clear();
+      for (const Server& s : servers_) ring_.push_back(IndexOf(s));
+      std::sort(ring_.begin(), ring_.end(), [this](ServerIndex a, ServerIndex b) { return OnRing(a, b); });
+    }
     FleetChanged();
     room_ = true;
   }
 
+  bool OnRing(ServerIndex a, ServerIndex b) const {
+    return std::pair(MixBits(servers_[a].entry.server), a) < std::pair(MixBits(servers_[b].entry.server), b);
+  }
+
+  // A change of one server must not sort the fleet anew.
+  void JoinRing(ServerIndex i) {
+    const auto place = std::lower_bound(ring_.begin(), ring_.end(), i,
+                                        [this](ServerIndex a, ServerIndex b) { return OnRing(a, b); });
+    if (place == ring_.end() || *place != i) ring_.insert(place, i);
+  }
+
   // The place of a server gone so long that no request can remember it, or a new one.
   ServerIndex NewServer() {
-    const auto old = std::find_if(servers_.begin(), servers_.end(), [this](const Server& s) {
-      return s.entry.state == ServerState::kGone && s.own_count == 0 && now_ - s.gone_since > kForgetAfter;
-    });
-    const auto place = static_cast<ServerIndex>(old - servers_.begin());
-    if (place == servers_.size()) {
-      servers_.emplace_back();
-    } else {
+    const auto stale = [this](const auto& gone) {
+      const Server& s = servers_[gone.second];
+      return s.entry.state != ServerState::kGone || s.gone_since != gone.first;
+    };
+    while (!gone_.empty() && stale(gone_.front())) gone_.pop_front();
+    ServerIndex place = servers_.size();
+    if (!gone_.empty() && now_ - gone_.front().first > kForgetAfter &&
+        servers_[gone_.front().second].own_count == 0) {
+      place = gone_.front().second;
+      gone_.pop_front();
       index_.erase(servers_[place].entry.server);
+      std::erase(ring_, place);
       servers_[place] = Server();
+    } else {
+      servers_.emplace_back();
     }
     servers_[place].entry.state = ServerState::kGone;
     servers_[place].gone_since = now_;
+    gone_.emplace_back(now_, place);
     return place;
   }
 
   void SetState(Server& s, ServerState state) {
-    if (state == ServerState::kGone && s.entry.state != state) s.gone_since = now_;
+    if (state == ServerState::kGone && s.entry.state != state) {
+      s.gone_since = now_;
+      gone_.emplace_back(now_, IndexOf(s));
+    }
     const int ready = (state == ServerState::kReady) - Usable(s);
     fleet_.hosts += ready;
     fleet_.ejected += s.health.ejected ? ready : 0;
@@ -916,7 +960,9 @@
   double listed_ = 0, in_service_ = 0;  // servers ready and of these not ejected; a cold one as its share
   TimePoint next_return_ = kNever;
   bool some_cold_ = false;
-  int list_ = 0;                            // of the complete lists
+  int list_ = 0, built_ = 0;  // of the complete lists; of the subsets
+  std::deque<std::pair<TimePoint, ServerIndex>>
+      gone_;                                // servers by when they went; stale entries are passed over
   std::vector<ServerIndex> ring_, subset_;  // servers ready, by their place; those picked from
   std::size_t judged_ = 0;                  // servers that this proxy's traffic can judge
   KeyMemory key_memory_{kKeyMemory};
--- a/src/decision/measures.h
+++ b/src/decision/measures.h
@@ -83,6 +83,17 @@
     servers.emplace_back(server, now);
     order_.emplace_back(now, key);
   }
+  // Calls look(server) for the last few that met it.
+  template <typename Look>
+  void ForLatest(std::uint64_t key, TimePoint now, const Look& look) const {
+    constexpr std::size_t kLooked = 8;
+    const auto found = met_.find(key);
+    if (key == 0 || found == met_.end()) return;
+    const auto& servers = found->second;
+    for (std::size_t k = servers.size(); k > 0 && servers.size() - k < kLooked; --k) {
+      if (now - servers[k - 1].second < kept_) look(servers[k - 1].first);
+    }
+  }
   bool Warm(std::uint64_t key, std::size_t server, TimePoint now) const {
     const auto found = met_.find(key);
     if (found == met_.end()) return false;
