--- a/src/decision/balance.cpp
+++ b/src/decision/balance.cpp
@@ -73,7 +73,8 @@
 constexpr double kWarmWeight = 2;          // of a request's work, at a server that met its key lately
 constexpr Duration kKeyMemory{4000};       // how long a key sent to a server is taken to be warm there
 constexpr std::size_t kMostRanked = 64;    // servers that a pick ranks whole; of more it draws a sample
-constexpr int kSample = 24;                // of which, at 70% load, one in 5,000 has no idle server
+constexpr int kSample = 12;                // at random, and the last few that were chosen: a fast one is
+constexpr std::size_t kRecalled = 36;      // soon free again
 constexpr int kMostMisses = 8;             // held requests tried in a row without room for any
 constexpr double kMostWork = 1e6;          // ms; a larger hint is taken as this
 constexpr Duration kHousekeeping{100};     // rates are sampled this often
@@ -252,9 +253,10 @@
     bool in_service = false;
   };
 
-  // Ranks all, or on a large fleet a sample and the servers that met the key lately: of kSample drawn at
-  // random one is nearly always as good as the best, and a pick must not cost more the larger the fleet is.
-  // Where the sample has no room, all are looked at: never a request lost for want of luck.
+  // Ranks all, or on a large fleet a sample, the servers chosen last and those that met the key lately: a
+  // pick must not cost more the larger the fleet is. Of a sample one is nearly always idle; that it is fast
+  // is known of those chosen before (two choices with memory, Mitzenmacher, Prabhakar and Shah 2002). Where
+  // these have no room, all are looked at: never a request lost for want of luck.
   Server* PickFrom(const std::vector<ServerIndex>& from, const Request& r, const Permission& permission,
                    bool* in_service) {
     Choice choice;
@@ -262,9 +264,17 @@
     if (settings_.price_cross_zone > 0 && random_.Unit() < home_first_)
       choice.crossing = kCrossingWeight * settings_.price_cross_zone * request_work_.mean;
     if (from.size() > kMostRanked) {
+      const auto look = [&](ServerIndex i) {
+        if (&from == &ring_ || servers_[i].in_subset == built_) Consider(i, r, permission, &choice);
+      };
       for (int k = 0; k < kSample; ++k) Consider(from[random_.Below(from.size())], r, permission, &choice);
-      key_memory_.ForLatest(r.key, now_, [&](ServerIndex i) { Consider(i, r, permission, &choice); });
-      if (choice.best && choice.rank < 2) return choice.best;
+      for (const ServerIndex i : chosen_) look(i);
+      key_memory_.ForLatest(r.key, now_, look);
+      if (choice.best && choice.rank < 2) {
+        if (chosen_.size() < kRecalled) chosen_.push_back(0);
+        chosen_[next_chosen_++ % chosen_.size()] = IndexOf(*choice.best);
+        return choice.best;
+      }
     }
     for (const ServerIndex index : from) Consider(index, r, permission, &choice);
     *in_service = choice.in_service;
@@ -962,7 +972,9 @@
   bool some_cold_ = false;
   int list_ = 0, built_ = 0;  // of the complete lists; of the subsets
   std::deque<std::pair<TimePoint, ServerIndex>>
-      gone_;                                // servers by when they went; stale entries are passed over
+      gone_;                         // servers by when they went; stale entries are passed over
+  std::vector<ServerIndex> chosen_;  // by the last picks on a large fleet
+  std::size_t next_chosen_ = 0;
   std::vector<ServerIndex> ring_, subset_;  // servers ready, by their place; those picked from
   std::size_t judged_ = 0;                  // servers that this proxy's traffic can judge
   KeyMemory key_memory_{kKeyMemory};
--- a/src/lab/report/metrics.cpp
+++ b/src/lab/report/metrics.cpp
@@ -29,11 +29,12 @@
   const double target = q * static_cast<double>(count());
   if (target <= 0) return 0;
   double seen = 0;
-  for (auto&& bin : boost::histogram::indexed(histogram_, boost::histogram::coverage::all)) {
-    seen += static_cast<double>(*bin);
+  const Axis& axis = histogram_.axis();
+  for (int i = -1; i <= axis.size(); ++i) {  // the first and the last hold what lies beyond the range
+    seen += static_cast<double>(histogram_.at(i));
     if (seen < target) continue;
-    const double low = std::clamp(bin.bin(0).lower(), kLeastMs, kMostMs);
-    const double high = std::clamp(bin.bin(0).upper(), kLeastMs, kMostMs);
+    const double low = i < 0 ? kLeastMs : axis.value(i);
+    const double high = i >= axis.size() ? kMostMs : axis.value(i + 1);
     return std::sqrt(low * high);
   }
   return kMostMs;
--- a/src/lab/report/plot.cpp
+++ b/src/lab/report/plot.cpp
@@ -215,6 +215,8 @@
       sum += point["result"][key].get<double>();
       ++n;
     }
+    const auto& first = sums[order.front()];
+    chart.log_x = first.begin()->first > 0 && first.rbegin()->first >= 100 * first.begin()->first;
     for (const std::string& curve : order) {
       Curve drawn{curve, {}};
       for (const auto& [x, of] : sums[curve]) {
--- a/src/lab/world/service.cpp
+++ b/src/lab/world/service.cpp
@@ -354,7 +354,8 @@
   }
   const Try& t = s_.At(job->try_slot);
   const double took = ToMs(s_.now() - t.attempts[job->attempt].sent);
-  recent_ms_[backend] += 0.2 * (took - recent_ms_[backend]);
+  // What a request takes for each that is there: times those there now, what the next would take.
+  recent_ms_[backend] += 0.2 * (took / (b.held() + 1) - recent_ms_[backend]);
   Reply(job->try_slot, job->attempt,
         s_.chance.Chance(b.machine().error_rate) ? Outcome::kError : Outcome::kOk);
   RunNext(backend);
@@ -466,7 +467,7 @@
     index = free_answers_.back();
     free_answers_.pop_back();
   }
-  answers_[index] = {High(backend_and_life), backend, b.held(), recent_ms_[backend]};
+  answers_[index] = {High(backend_and_life), backend, b.held(), recent_ms_[backend] * (b.held() + 1)};
   const Micros back = s_.network.Delay(s_.now(), b.zone(), s_.proxies[proxy].zone);
   s_.queue.Push(s_.now() + back, Rank::kBackend, kProbeBack, proxy, index);
 }
--- a/src/lab/world/state.h
+++ b/src/lab/world/state.h
@@ -29,25 +29,25 @@
 
 // a and b of a Due: what the comment says.
 enum DueKind : std::uint32_t {
-  kWish,           // the next first try reaches its proxy
-  kRetry,          // b: slot of a try that its client sends now
-  kTryOver,        // b: slot; the client gives this try up
-  kSlackOver,      // b: slot; the final answer must be there
-  kAtBackend,      // a: attempt, b: slot
-  kWorkDone,       // a: backend, b: slot of work | life of the backend << 32
-  kAnswer,         // a: attempt | outcome << 8, b: slot
-  kNeverUp,        // a: attempt, b: slot; its connection did not come up
-  kTimeout,        // a: attempt, b: slot
-  kGivenUp,        // a: attempt, b: slot; the backend hears that nobody waits
-  kTimer,          // a: proxy, b: token | life << 32
-  kProbe,          // a: proxy, b: backend | life << 32
-  kProbeBack,      // a: proxy, b: index of the answer
-  kNotice,         // b: index of a change that discovery gets to know
-  kNews,           // a: proxy, b: life
-  kCalled,         // a: proxy, b: life; discovery answers a call
+  kWish,             // the next first try reaches its proxy
+  kRetry,            // b: slot of a try that its client sends now
+  kTryOver,          // b: slot; the client gives this try up
+  kSlackOver,        // b: slot; the final answer must be there
+  kAtBackend,        // a: attempt, b: slot
+  kWorkDone,         // a: backend, b: slot of work | life of the backend << 32
+  kAnswer,           // a: attempt | outcome << 8, b: slot
+  kNeverUp,          // a: attempt, b: slot; its connection did not come up
+  kTimeout,          // a: attempt, b: slot
+  kGivenUp,          // a: attempt, b: slot; the backend hears that nobody waits
+  kTimer,            // a: proxy, b: token | life << 32
+  kProbe,            // a: proxy, b: backend | life << 32
+  kProbeBack,        // a: proxy, b: index of the answer
+  kNotice,           // b: index of a change that discovery gets to know
+  kNews,             // a: proxy, b: life
+  kCalled,           // a: proxy, b: life; discovery answers a call
   kShouldHaveAsked,  // a: proxy, b: life; unless it has called since
-  kCallFailed,     // a: proxy, b: life
-  kTroubleBegins,  // b: trouble
+  kCallFailed,       // a: proxy, b: life
+  kTroubleBegins,    // b: trouble
   kTroubleEnds,
   kPause,         // a: backend, b: trouble
   kDrainBackend,  // a: backend
