--- a/src/lab/world/backend.cpp
+++ b/src/lab/world/backend.cpp
@@ -71,7 +71,6 @@
   slot.frozen_before = frozen_sum_;
   ++busy_;
   Meet(now, job.key);
-  executed_ms_ += job.work_ms;
   return {index | slot.serial << 16, std::max(now, frozen_until_) + std::max<Micros>(1, FromMs(needed))};
 }
 
--- a/src/lab/world/backend.h
+++ b/src/lab/world/backend.h
@@ -71,7 +71,6 @@
   // Until a job of `work_ms` that arrives now would be done, in ms.
   double DoneIn(Micros now, double work_ms, std::uint64_t key) const;
   const Job& job(std::uint32_t slot) const { return slots_[slot & 0xffff].job; }
-  double executed_ms() const { return executed_ms_; }
 
   // ---- connections ----
   bool Accept();  // false: its table is full
@@ -105,7 +104,7 @@
   std::vector<std::uint32_t> free_;
   int busy_ = 0, connections_ = 0;
   std::deque<Job> waiting_;
-  double waiting_ms_ = 0, executed_ms_ = 0;
+  double waiting_ms_ = 0;
   std::unordered_map<std::uint64_t, Micros> met_;
   std::deque<std::pair<Micros, std::uint64_t>> met_order_;
   struct Pressed {
--- a/src/lab/world/day.cpp
+++ b/src/lab/world/day.cpp
@@ -17,8 +17,7 @@
   return kind == TroubleKind::kProxyRelease || kind == TroubleKind::kProxyKill;
 }
 
-std::vector<std::uint32_t> Targets(const Scenario& scenario, const Day& day, const Trouble& t,
-                                   Random& random) {
+std::vector<std::uint32_t> Targets(const Day& day, const Trouble& t, Random& random) {
   std::vector<std::uint32_t> all(OfProxies(t.kind) ? day.proxy_zones.size() : day.backends.size());
   std::iota(all.begin(), all.end(), 0u);
   if (t.kind == TroubleKind::kLostZone) {
@@ -29,7 +28,6 @@
   const bool everyone = t.kind == TroubleKind::kOutage;
   const auto wanted = static_cast<std::size_t>(std::lround(t.part * static_cast<double>(all.size())));
   if (!everyone) all.resize(std::min(all.size(), std::max<std::size_t>(1, wanted)));
-  (void)scenario;
   return all;
 }
 
@@ -65,7 +63,7 @@
   for (int p = 0; p < scenario.fleet.proxies; ++p) day.proxy_zones.push_back(p % scenario.fleet.zones);
   for (std::size_t i = 0; i < scenario.troubles.size(); ++i) {
     Random of_trouble(seed, "trouble", i);
-    day.targets.push_back(Targets(scenario, day, scenario.troubles[i], of_trouble));
+    day.targets.push_back(Targets(day, scenario.troubles[i], of_trouble));
   }
   if (scenario.load.keys > 0)
     day.poison = static_cast<std::uint64_t>(std::min(kPoisonRank, scenario.load.keys));
--- a/src/lab/world/observer.h
+++ b/src/lab/world/observer.h
@@ -32,10 +32,8 @@
  public:
   static constexpr std::size_t kMostKept = 100;  // broken rules told in full; all are counted
 
-  Observer(double drain_grace_ms) : grace_(FromMs(drain_grace_ms)) {}
+  explicit Observer(double drain_grace_ms) : grace_(FromMs(drain_grace_ms)) {}
 
-  // How an attempt ended, as far as rule 2 cares.
-  enum class Proof { kOut, kMayHaveRun, kNeverRan };
   struct Attempts {
     bool unsafe = false;
     bool may_have_run = false;  // some earlier attempt is out or has no proof
