Emulator: a wish's worth, a try's end and a trouble's end are computed in one place each

Read again: the worth of a wish and the end of a try stood twice in the crowd, the end of a trouble three times in the fates, and two tests timed a warm key with the same loop.

Each is a function now. No behaviour changes.

--- a/src/lab/world/crowd.cpp
+++ b/src/lab/world/crowd.cpp
@@ -34,12 +34,20 @@
   t.wish = wish;
   t.wish_due = wish.at + FromMs(c.deadline_ms);
   t.tries_left = s_.scenario.clients.retry == Retry::kNone ? 0 : s_.scenario.clients.retries;
-  const double worth = c.worth * wish.work_ms * (wish.over_share ? s_.scenario.rules.over_share_worth : 1);
-  s_.metrics.Asked(wish.at, wish.cls, wish.account, worth);
+  s_.metrics.Asked(wish.at, wish.cls, wish.account, WorthOf(wish));
   s_.queue.Push(s_.now() + s_.network.ClientDelay(), Rank::kClient, kRetry, 0, slot);
-  // A client with repeats left gives a try up early; the last has what is left of its deadline.
-  const Micros share = FromMs(c.deadline_ms * s_.scenario.clients.try_share);
-  t.due = t.tries_left > 0 ? std::min(wish.at + share, t.wish_due) : t.wish_due;
+  SetDue(t, wish.at);
+}
+
+double Crowd::WorthOf(const Wish& wish) const {
+  return s_.scenario.classes[wish.cls].worth * wish.work_ms *
+         (wish.over_share ? s_.scenario.rules.over_share_worth : 1);
+}
+
+// A client with repeats left gives a try up early; the last has what is left of its deadline.
+void Crowd::SetDue(Try& t, Micros sent) const {
+  const Micros share = FromMs(s_.scenario.classes[t.wish.cls].deadline_ms * s_.scenario.clients.try_share);
+  t.due = t.tries_left > 0 ? std::min(sent + share, t.wish_due) : t.wish_due;
 }
 
 void Crowd::OnRetry(std::uint32_t slot) { Reach(slot); }
@@ -109,9 +117,7 @@
   if (final != Final::kServed) return Comeback(slot, final, heard, retry_after);
   const RequestClass& c = s_.scenario.classes[t.wish.cls];
   const double took = ToMs(heard - t.wish.at);
-  const double worth =
-      c.worth * t.wish.work_ms * (t.wish.over_share ? s_.scenario.rules.over_share_worth : 1);
-  s_.metrics.Served(t.wish.at, t.wish.cls, t.wish.account, worth, took, took <= c.aim_ms);
+  s_.metrics.Served(t.wish.at, t.wish.cls, t.wish.account, WorthOf(t.wish), took, took <= c.aim_ms);
 }
 
 // A client repeats what is safe after any failure, and what is not safe only after a refusal.
@@ -129,8 +135,7 @@
   fresh.wish = old.wish;
   fresh.wish_due = old.wish_due;
   fresh.tries_left = old.tries_left - 1;
-  const Micros share = FromMs(c.deadline_ms * clients.try_share);
-  fresh.due = fresh.tries_left > 0 ? std::min(at + share, fresh.wish_due) : fresh.wish_due;
+  SetDue(fresh, at);
   s_.queue.Push(at + s_.network.ClientDelay(), Rank::kClient, kRetry, 0, again);
 }
 
--- a/src/lab/world/crowd.h
+++ b/src/lab/world/crowd.h
@@ -29,6 +29,8 @@
 
  private:
   void Schedule();
+  double WorthOf(const Wish& wish) const;
+  void SetDue(Try& t, Micros sent) const;
   void Reach(std::uint32_t slot);
   std::optional<std::uint32_t> Choose(int zone);
   void Comeback(std::uint32_t slot, Final final, Micros heard, Duration retry_after);
--- a/src/lab/world/fates.cpp
+++ b/src/lab/world/fates.cpp
@@ -22,15 +22,16 @@
   for (std::size_t i = 0; i < s_.scenario.troubles.size(); ++i) {
     const Trouble& t = s_.scenario.troubles[i];
     s_.queue.Push(FromMs(t.at_s * 1000), Rank::kNews, kTroubleBegins, 0, i);
-    s_.queue.Push(FromMs(std::min(t.at_s + t.for_s, s_.scenario.length_s) * 1000), Rank::kNews, kTroubleEnds,
-                  0, i);
+    s_.queue.Push(EndOf(t), Rank::kNews, kTroubleEnds, 0, i);
   }
 }
 
-bool Fates::Over(const Trouble& t) const {
-  return s_.now() >= FromMs(std::min(t.at_s + t.for_s, s_.scenario.length_s) * 1000);
+Micros Fates::EndOf(const Trouble& t) const {
+  return FromMs(std::min(t.at_s + t.for_s, s_.scenario.length_s) * 1000);
 }
 
+bool Fates::Over(const Trouble& t) const { return s_.now() >= EndOf(t); }
+
 void Fates::OnTrouble(std::uint64_t index, bool begins) {
   const Trouble& t = s_.scenario.troubles[index];
   if (t.at_s >= s_.scenario.length_s) return;
@@ -51,9 +52,7 @@
       for (const std::uint32_t b : targets) s_.backends[b].Slow(begins ? std::max(1.0, t.size) : 1);
       return;
     case TroubleKind::kCut:
-      if (begins)
-        s_.network.Cut(t.from_zone, t.to_zone,
-                       FromMs(std::min(t.at_s + t.for_s, s_.scenario.length_s) * 1000));
+      if (begins) s_.network.Cut(t.from_zone, t.to_zone, EndOf(t));
       return;
     case TroubleKind::kBurst:
       return;  // the arrivals know
--- a/src/lab/world/fates.h
+++ b/src/lab/world/fates.h
@@ -28,6 +28,7 @@
   void Crash(std::uint32_t backend);  // it restarts by itself
 
  private:
+  Micros EndOf(const Trouble& t) const;  // no later than that of the arrivals
   bool Over(const Trouble& t) const;
   void NextPause(std::uint32_t backend, std::uint64_t trouble);
   void Silence(std::uint32_t backend);
--- a/tests/lab/models_test.cpp
+++ b/tests/lab/models_test.cpp
@@ -121,22 +121,25 @@
   EXPECT_EQ(StartedAt(backend, 1000, 2), 7000);
 }
 
+// How long 10 ms of work for that key take at a backend that is idle, and is idle again after it.
+Micros Takes(Backend& backend, Micros now, std::uint64_t key) {
+  Backend::Started started;
+  Job job;
+  job.work_ms = 10;
+  job.key = key;
+  backend.Arrive(now, job, &started);
+  Micros again = 0;
+  backend.End(started.ends, started.slot, &again);
+  return started.ends - now;
+}
+
 TEST(Models, AWarmKeySavesItsShareAndIsForgotten) {
   Machine machine;
   machine.cores = 4;
   machine.warm_key_gain = 0.5;
   machine.warm_key_s = 2;
   Backend backend(machine, 0, 0, 1);
-  const auto takes = [&](Micros now, std::uint64_t key) {
-    Backend::Started started;
-    Job job;
-    job.work_ms = 10;
-    job.key = key;
-    backend.Arrive(now, job, &started);
-    Micros again = 0;
-    backend.End(started.ends, started.slot, &again);
-    return started.ends - now;
-  };
+  const auto takes = [&](Micros now, std::uint64_t key) { return Takes(backend, now, key); };
   EXPECT_EQ(takes(0, 5), 10000);
   EXPECT_EQ(takes(100000, 5), 5000);
   EXPECT_EQ(takes(100000, 6), 10000);
@@ -150,15 +153,8 @@
   Backend backend(machine, 0, 0, 1);
   Micros now = 0;
   const auto takes = [&](std::uint64_t key) {
-    Backend::Started started;
-    Job job;
-    job.work_ms = 10;
-    job.key = key;
-    backend.Arrive(now, job, &started);
-    Micros again = 0;
-    backend.End(started.ends, started.slot, &again);
-    const Micros took = started.ends - now;
-    now = started.ends;
+    const Micros took = Takes(backend, now, key);
+    now += took;
     return took;
   };
   for (const std::uint64_t key : {1, 2, 3, 4}) EXPECT_EQ(takes(key), 10000);
