--- a/src/decision/balance.cpp
+++ b/src/decision/balance.cpp
@@ -6,10 +6,10 @@
 // pick of the one with the least hinted work of this proxy's own in flight. Whatever departs from that is
 // marked "Exception" with the condition under which it acts; docs/design.md lists them all.
 #include <algorithm>
+#include <boost/unordered/unordered_flat_map.hpp>
 #include <cmath>
 #include <deque>
 #include <set>
-#include <unordered_map>
 #include <utility>
 
 #include "copperpoint/balancer.h"
@@ -156,19 +156,20 @@
 
 // ---- 4. Cold-start budget (its state; the pick below asks it) -----------------------------------------
 struct Server {
+  // What a pick reads comes first, and lies together: with thousands of servers a pick waits for memory.
   ServerEntry entry;
-  TimePoint gone_since{};
-  int in_list = 0;      // the last complete list that named it
-  int in_subset = 0;    // the last subset that held it
   double own_work = 0;  // hinted, of this proxy, in flight
-  int own_count = 0;
+  double slowness = 1;  // time of its answers over what the fleet takes for the like
+  TimePoint slowness_at{};
   OutlierDetector::Host health;
+  int in_subset = 0;  // the last subset that held it
+  int in_list = 0;    // the last complete list that named it
+  int own_count = 0;
   SentWindow sent;
   TimePoint turn_since{};  // cold: the last send to it, or its start as told
   double turn_phase = 1;   // part of the time between sends that has to pass
-  double slowness = 1;     // time of its answers over what the fleet takes for the like
-  TimePoint slowness_at{};
   TimePoint quiet_since{};
+  TimePoint gone_since{};
 };
 
 // What may be done with a request now.
@@ -211,6 +212,8 @@
 
  private:
   // ---- 3. Pick ----------------------------------------------------------------------------------------
+  using Requests = boost::unordered_flat_map<RequestId, Request>;
+
   bool Usable(const Server& s) const { return s.entry.state == ServerState::kReady; }
 
   ServerIndex IndexOf(const Server& s) const { return static_cast<ServerIndex>(&s - servers_.data()); }
@@ -267,7 +270,10 @@
       const auto look = [&](ServerIndex i) {
         if (&from == &ring_ || servers_[i].in_subset == built_) Consider(i, r, permission, &choice);
       };
-      for (int k = 0; k < kSample; ++k) Consider(from[random_.Below(from.size())], r, permission, &choice);
+      ServerIndex sample[kSample];
+      for (ServerIndex& i : sample) Fetch(i = from[random_.Below(from.size())]);
+      for (const ServerIndex i : chosen_) Fetch(i);
+      for (const ServerIndex i : sample) Consider(i, r, permission, &choice);
       for (const ServerIndex i : chosen_) look(i);
       key_memory_.ForLatest(r.key, now_, look);
       if (choice.best && choice.rank < 2) {
@@ -281,6 +287,13 @@
     return choice.best && choice.rank >= 2 && choice.in_service ? nullptr : choice.best;
   }
 
+  // Soon to be considered: the memory of several is waited for once.
+  void Fetch(ServerIndex i) const {
+    const char* at = reinterpret_cast<const char*>(&servers_[i]);
+    __builtin_prefetch(at);
+    __builtin_prefetch(at + 64);
+  }
+
   void Consider(ServerIndex index, const Request& r, const Permission& permission, Choice* choice) {
     Server& s = servers_[index];
     if (!Usable(s) || (permission.group_of && !InGroup(r, *permission.group_of, s))) return;
@@ -562,10 +575,11 @@
 
   // What is not confirmed is forgotten.
   double SlownessOf(const Server& s) const {
+    if (s.slowness == 1) return 1;  // most of a large fleet: not answered yet
     return 1 + (s.slowness - 1) * std::exp((s.slowness_at - now_) / kSlownessMemory);
   }
 
-  void Forget(std::unordered_map<RequestId, Request>::iterator it) {
+  void Forget(Requests::iterator it) {
     if (it->second.finished) Unhold(it->second);
     if (it->second.finished && it->second.outstanding() == 0) requests_.erase(it);
   }
@@ -769,8 +783,11 @@
       for (const ServerEntry& entry : e.entries) JoinRing(index_[entry.server]);
     } else {
       ring_.clear();
-      for (const Server& s : servers_) ring_.push_back(IndexOf(s));
-      std::sort(ring_.begin(), ring_.end(), [this](ServerIndex a, ServerIndex b) { return OnRing(a, b); });
+      std::vector<std::pair<std::uint32_t, ServerIndex>> places;
+      places.reserve(servers_.size());
+      for (const Server& s : servers_) places.emplace_back(MixBits(s.entry.server), IndexOf(s));
+      std::sort(places.begin(), places.end());
+      for (const auto& [place, i] : places) ring_.push_back(i);
     }
     FleetChanged();
     room_ = true;
@@ -964,7 +981,7 @@
   TimePoint now_{};
   std::vector<Action>* out_ = nullptr;
   std::vector<Server> servers_;
-  std::unordered_map<ServerId, ServerIndex> index_;
+  boost::unordered_flat_map<ServerId, ServerIndex> index_;
   OutlierDetector::Fleet fleet_;
   double warm_rate_ = 0;
   double listed_ = 0, in_service_ = 0;  // servers ready and of these not ejected; a cold one as its share
@@ -978,7 +995,7 @@
   std::vector<ServerIndex> ring_, subset_;  // servers ready, by their place; those picked from
   std::size_t judged_ = 0;                  // servers that this proxy's traffic can judge
   KeyMemory key_memory_{kKeyMemory};
-  std::unordered_map<RequestId, Request> requests_;
+  Requests requests_;
   std::set<std::tuple<double, Duration, RequestId>> held_;
   std::set<std::pair<TimePoint, RequestId>> wakeups_;
   std::vector<ClassState> classes_;
--- a/src/decision/measures.h
+++ b/src/decision/measures.h
@@ -108,7 +108,7 @@
 };
 
 // ---- what is kept of requests --------------------------------------------------------------------------
-using ServerIndex = std::size_t;  // of the dense list of servers
+using ServerIndex = std::uint32_t;  // of the dense list of servers
 
 struct Attempt {
   ServerIndex server = 0;
