--- a/benchmarks/pick_bench.cpp
+++ b/benchmarks/pick_bench.cpp
@@ -1,9 +1,12 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// What the decision module costs as the fleet grows: one request with its outcome, while half as many
-// requests are out as there are backends, and answers take 20 ms. Read the ratios within one run.
+// What the decision module costs as the fleet grows: a pick, an outcome, both together and the memory, while
+// half as many requests are out as there are backends, and answers take 20 ms. Read the ratios within one
+// run.
 #include <benchmark/benchmark.h>
+#include <malloc.h>
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -47,16 +50,11 @@
   // One request comes, the oldest one out is answered.
   void Turn() {
     now_ += gap_;
-    while (!out_.empty() && out_.front().due <= now_) {
-      AttemptEnded end;
-      end.request = out_.front().request;
-      end.server = out_.front().server;
-      end.settled = true;
-      end.outcome = Outcome::kOk;
-      end.took = kAnswer;
-      out_.pop_front();
-      Handle(end);
-    }
+    while (!out_.empty() && out_.front().due <= now_) AnswerOldest();
+    Ask();
+  }
+
+  void Ask() {
     Submit submit;
     submit.request = ++last_;
     submit.due = now_ + Duration(2500);
@@ -65,6 +63,21 @@
     Handle(submit);
   }
 
+  void AnswerOldest() {
+    if (out_.empty()) return;
+    AttemptEnded end;
+    end.request = out_.front().request;
+    end.server = out_.front().server;
+    end.settled = true;
+    end.outcome = Outcome::kOk;
+    end.took = kAnswer;
+    out_.pop_front();
+    Handle(end);
+  }
+
+  // Time goes on by as many gaps as requests are to come at once.
+  void Wait(int requests) { now_ += gap_ * requests; }
+
  private:
   struct Out {
     TimePoint due;
@@ -89,13 +102,53 @@
   std::vector<Action> actions_;
 };
 
-void RequestAndOutcome(benchmark::State& state) {
-  // One for each size: the benchmark calls this again and again to find how often it has to.
+// One for each size: the benchmark calls its function again and again to find how often it has to.
+Steady& SteadyOf(std::int64_t backends) {
   static std::map<std::int64_t, Steady> all;
-  Steady& steady = all.try_emplace(state.range(0), static_cast<int>(state.range(0))).first->second;
+  return all.try_emplace(backends, static_cast<int>(backends)).first->second;
+}
+
+void RequestAndOutcome(benchmark::State& state) {
+  Steady& steady = SteadyOf(state.range(0));
   for (auto _ : state) steady.Turn();
 }
-BENCHMARK(RequestAndOutcome)->Arg(12)->Arg(100)->Arg(1000)->Arg(10000)->Unit(benchmark::kMicrosecond);
+
+// In handfuls, so that the clock is read seldom: what only one of the two kinds of events costs.
+constexpr int kHandful = 4;  // of twelve backends six requests are out
+
+void TimedByHand(benchmark::State& state, bool picks) {
+  Steady& steady = SteadyOf(state.range(0));
+  for (auto _ : state) {
+    steady.Wait(kHandful);
+    const auto start = std::chrono::steady_clock::now();
+    for (int k = 0; k < kHandful; ++k) steady.AnswerOldest();
+    const auto between = std::chrono::steady_clock::now();
+    for (int k = 0; k < kHandful; ++k) steady.Ask();
+    const auto end = std::chrono::steady_clock::now();
+    state.SetIterationTime(std::chrono::duration<double>(picks ? end - between : between - start).count() /
+                           kHandful);
+  }
+}
+void Pick(benchmark::State& state) { TimedByHand(state, true); }
+void OutcomeOf(benchmark::State& state) { TimedByHand(state, false); }
+
+// What one module holds of the heap in its steady state.
+void Memory(benchmark::State& state) {
+  const std::size_t before = mallinfo2().uordblks;
+  const Steady steady(static_cast<int>(state.range(0)));
+  const std::size_t held = mallinfo2().uordblks - before;
+  for (auto _ : state) benchmark::DoNotOptimize(held);
+  state.counters["bytes"] = static_cast<double>(held);
+  state.counters["per_backend"] = static_cast<double>(held) / static_cast<double>(state.range(0));
+}
+
+void Sizes(benchmark::internal::Benchmark* bench) {
+  for (const int backends : {12, 100, 1000, 10000}) bench->Arg(backends);
+}
+BENCHMARK(RequestAndOutcome)->Apply(Sizes)->Unit(benchmark::kMicrosecond);
+BENCHMARK(Pick)->Apply(Sizes)->Unit(benchmark::kMicrosecond)->UseManualTime();
+BENCHMARK(OutcomeOf)->Apply(Sizes)->Unit(benchmark::kMicrosecond)->UseManualTime();
+BENCHMARK(Memory)->Apply(Sizes)->Iterations(1);
 
 }  // namespace
 }  // namespace copperpoint
--- a/src/cli/lab.cpp
+++ b/src/cli/lab.cpp
@@ -137,10 +137,11 @@
   plan.policies = options.policies.empty() ? std::vector<std::string>{"ours"} : options.policies;
   plan.seeds = options.seeds.empty() ? std::vector<std::uint64_t>{1} : options.seeds;
   const lab::SweepReport report = lab::Sweep(plan, options.folder, options.threads, Progress);
+  std::cout << lab::SweepTable(lab::ReadSweep(options.folder));
   std::cout << fmt::format("{} points, {} of them done before, {} torn and done anew; in {}\n", report.points,
                            report.done_before, report.torn, options.folder);
   if (report.broken > 0) std::cout << report.broken << " rules broken\n";
-  TellCost(0, 1);
+  TellCost(report.events, report.busy_s);
   return report.broken > 0 ? kFault : kDone;
 }
 
@@ -208,7 +209,6 @@
                         "--policies ours,p2c,oracle --out found/load");
   AddScenario(sweep, *options);
   sweep->add_option("--vary", options->vary, "KEY=FIRST:LAST:STEP or KEY=VALUE,VALUE; may be given again")
-      ->required()
       ->allow_extra_args(false);
   sweep->add_option("--policies", options->policies, "Separated by commas; ours without it")->delimiter(',');
   sweep->add_option("--seeds", options->seeds, "Separated by commas")->delimiter(',');
--- a/src/lab/report/metrics.cpp
+++ b/src/lab/report/metrics.cpp
@@ -84,6 +84,15 @@
   return first_tries > 0 ? static_cast<double>(attempts) / static_cast<double>(first_tries) : 0;
 }
 
+std::vector<Stretch> Metrics::TimeLine() const {
+  std::vector<Stretch> line;
+  for (std::size_t i = 0; i < windows_.size(); ++i) {
+    const Worth& worth = windows_[i].worth;
+    line.push_back({static_cast<double>(i) * scenario_.window_s, worth.asked, worth.got});
+  }
+  return line;
+}
+
 nlohmann::ordered_json Metrics::Json() const {
   nlohmann::ordered_json json{
       {"goodput", Rounded(Goodput())},
@@ -120,6 +129,16 @@
   auto& accounts = json["accounts"] = nlohmann::ordered_json::object();
   for (std::size_t i = 0; i < accounts_.size(); ++i)
     accounts[scenario_.accounts[i].name] = Rounded(accounts_[i].Share());
+  if (const auto r = RecoveryOf(scenario_, TimeLine())) {
+    json["recovery"] = {{"from_s", Rounded(r->from_s)},
+                        {"to_s", Rounded(r->to_s)},
+                        {"before", Rounded(r->before)},
+                        {"during", Rounded(r->during)},
+                        {"after", Rounded(r->after)},
+                        // Never within the run: told as its rest.
+                        {"back_s", Rounded(r->back_s.value_or(scenario_.length_s - r->to_s))},
+                        {"back", r->back_s.has_value()}};
+  }
   auto& windows = json["windows"] = nlohmann::ordered_json::array();
   for (std::size_t i = 0; i < windows_.size(); ++i) {
     const Window& w = windows_[i];
--- a/src/lab/report/metrics.h
+++ b/src/lab/report/metrics.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "lab/core/queue.h"
+#include "lab/report/recovery.h"
 #include "lab/scenario/scenario.h"
 
 namespace copperpoint::lab {
@@ -56,6 +57,7 @@
   double AttemptsPerRequest() const;
   const Latency& latency() const { return latency_; }
 
+  std::vector<Stretch> TimeLine() const;
   nlohmann::ordered_json Json() const;
 
  private:
--- a/src/lab/report/plot.cpp
+++ b/src/lab/report/plot.cpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <stdexcept>
+#include <tuple>
 
 namespace copperpoint::lab {
 namespace {
@@ -25,7 +26,8 @@
 // Colours that can be told apart, also by the colour-blind (Okabe and Ito), darkest first.
 constexpr const char* kColours[] = {"#000000", "#D55E00", "#0072B2", "#009E73",
                                     "#CC79A7", "#E69F00", "#56B4E9", "#999999"};
-constexpr std::size_t kMostCurves = 8;  // a time line with more can't be read
+constexpr const char *kBad = "#E08214", *kGood = "#2D88C4";  // of a heat map, white between
+constexpr std::size_t kMostCurves = 8;                       // a time line with more can't be read
 
 std::string Quoted(std::string text) {
   boost::algorithm::replace_all(text, "\\", "\\\\");
@@ -39,13 +41,49 @@
   return text;
 }
 
+// Fields side by side in the order of their first cells, each with its value.
+std::string HeatScript(const Chart& chart) {
+  std::vector<std::string> xs, ys;
+  const auto place = [](std::vector<std::string>* names, const std::string& name) {
+    const auto found = std::find(names->begin(), names->end(), name);
+    if (found != names->end()) return static_cast<std::size_t>(found - names->begin());
+    names->push_back(name);
+    return names->size() - 1;
+  };
+  std::string data, xtics, ytics;
+  for (const Cell& cell : chart.cells)
+    data += fmt::format("{} {} {:.6f}\n", place(&xs, cell.x), place(&ys, cell.y), cell.value);
+  const auto tics = [](const std::vector<std::string>& names) {
+    std::string list;
+    for (std::size_t i = 0; i < names.size(); ++i)
+      list += fmt::format("{}{} {}", i ? ", " : "", Quoted(names[i]), i);
+    return list;
+  };
+  return fmt::format(
+      "$data << EOD\n{}EOD\nunset key\nunset grid\nset xlabel {} noenhanced\nset ylabel {} noenhanced\n"
+      "set xtics ({}) noenhanced\nset ytics ({}) noenhanced\nset xrange [-0.5:{}]\nset yrange [-0.5:{}]\n"
+      "set palette defined (0 '{}', 0.5 '#F7F7F7', 1 '{}')\nset cbrange [{}:{}]\n"
+      "plot $data using 1:2:3 with image, $data using 1:2:(sprintf('%.2f', $3)) with labels font ',11'\n",
+      data, Quoted(chart.x), Quoted(chart.y), tics(xs), tics(ys), static_cast<double>(xs.size()) - 0.5,
+      static_cast<double>(ys.size()) - 0.5, chart.high_is_good ? kBad : kGood,
+      chart.high_is_good ? kGood : kBad, chart.coldest, chart.hottest);
+}
+
+int HeightOf(const Chart& chart) {
+  if (!chart.bars.empty()) return 120 + 18 * static_cast<int>(chart.bars.size());
+  std::set<std::string> rows;
+  for (const Cell& cell : chart.cells) rows.insert(cell.y);
+  return rows.empty() ? 380 : 130 + 26 * static_cast<int>(rows.size());
+}
+
 std::string Script(const Chart& chart, const std::string& svg) {
-  const int height = chart.bars.empty() ? 380 : 120 + 18 * static_cast<int>(chart.bars.size());
+  const int height = HeightOf(chart);
   std::string s = fmt::format(
       "set terminal svg size 860,{} font 'Helvetica,13' background '#ffffff' noenhanced\nset output {}\n"
       "set title {} noenhanced\nset grid lc rgb '#dddddd'\nset border lc rgb '#888888'\nset tics textcolor "
       "rgb '#333333'\n",
       height, Quoted(svg), Quoted(chart.title));
+  if (!chart.cells.empty()) return s + HeatScript(chart);
   if (!chart.bars.empty()) {
     // Lying bars, the best on top, so that names can be read.
     s += "$data << EOD\n";
@@ -181,6 +219,59 @@
   return charts;
 }
 
+namespace {
+
+// How service came back, for each policy: the first varied key across, all others together down.
+std::vector<Chart> HeatMaps(const std::vector<ordered_json>& results) {
+  const std::tuple<const char*, const char*, double, double> figures[] = {
+      {"after", "goodput in the 5 s after the trouble", 0, 1},
+      {"back_s", "seconds until goodput is back", 10, 0}};
+  std::vector<Chart> charts;
+  for (const auto& [key, name, coldest, hottest] : figures) {
+    std::map<std::string, std::map<std::pair<std::string, std::string>, std::pair<double, int>>> sums;
+    std::vector<std::pair<std::string, std::pair<std::string, std::string>>> order;
+    std::string x_path, y_path;
+    for (const ordered_json& point : results) {
+      if (!point["result"].contains("recovery")) continue;
+      std::pair<std::string, std::string> at;
+      for (const auto& [path, value] : point["values"].items()) {
+        const bool first = &value == &point["values"].begin().value();
+        if (first) {
+          x_path = path;
+          at.first = value.get<std::string>();
+          continue;
+        }
+        if (y_path.find(path) == std::string::npos) y_path += (y_path.empty() ? "" : ", ") + path;
+        at.second += (at.second.empty() ? "" : ", ") + value.get<std::string>();
+      }
+      const std::string policy = point["policy"];
+      auto& [sum, n] = sums[policy][at];
+      if (n == 0) order.emplace_back(policy, at);
+      sum += point["result"]["recovery"][key].get<double>();
+      ++n;
+    }
+    for (const auto& [policy, cells] : sums) {
+      Chart chart{fmt::format("heat-{}-{}", policy, key),
+                  fmt::format("{}: {}", policy, name),
+                  x_path,
+                  y_path,
+                  {},
+                  {}};
+      chart.coldest = std::min(coldest, hottest), chart.hottest = std::max(coldest, hottest);
+      chart.high_is_good = coldest < hottest;
+      for (const auto& [of, at] : order) {
+        if (of != policy) continue;
+        const auto& [sum, n] = cells.at(at);
+        chart.cells.push_back({at.first, at.second, sum / n});
+      }
+      charts.push_back(std::move(chart));
+    }
+  }
+  return charts;
+}
+
+}  // namespace
+
 std::vector<Chart> ChartsOfSweep(const std::vector<ordered_json>& results) {
   std::string x_path;
   for (const auto& [path, value] : results.front()["values"].items()) {
@@ -226,6 +317,7 @@
     }
     charts.push_back(std::move(chart));
   }
+  for (Chart& chart : HeatMaps(results)) charts.push_back(std::move(chart));
   return charts;
 }
 
@@ -242,7 +334,7 @@
       EscapedForHtml(title));
   if (!table.empty()) page += "<pre>" + EscapedForHtml(table) + "</pre>\n";
   for (const Chart& chart : charts) {
-    if (chart.curves.empty() && chart.bars.empty()) continue;
+    if (chart.curves.empty() && chart.bars.empty() && chart.cells.empty()) continue;
     const fs::path svg = fs::path(folder) / (chart.file + ".svg");
     Gnuplot(svg, Script(chart, svg.string()));
     std::string drawn = Contents(svg);
--- a/src/lab/report/plot.h
+++ b/src/lab/report/plot.h
@@ -16,12 +16,21 @@
   std::vector<std::pair<double, double>> points;
 };
 
+// A field of a heat map.
+struct Cell {
+  std::string x, y;
+  double value = 0;
+};
+
 struct Chart {
   std::string file;  // its name, without an ending
   std::string title, x, y;
   std::vector<Curve> curves;
   std::vector<std::pair<std::string, double>> bars;  // instead of curves
   bool log_y = false, log_x = false;
+  std::vector<Cell> cells = {};     // instead of curves: a heat map, with its values written in
+  double coldest = 0, hottest = 1;  // values where its colours end
+  bool high_is_good = true;
 };
 
 // The charts of a comparison (or of a single run): time lines of goodput and latency, policies side by side.
--- a/src/lab/run/sweep.cpp
+++ b/src/lab/run/sweep.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
 #include <boost/lexical_cast.hpp>
@@ -11,6 +12,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <stdexcept>
@@ -98,17 +100,32 @@
   return text;
 }
 
-ordered_json RunPoint(const SweepPlan& plan, const Point& point) {
+struct Played {
+  ordered_json body;
+  std::uint64_t events = 0;
+  double busy_s = 0;
+};
+
+Played RunPoint(const SweepPlan& plan, const Point& point) {
   const auto scenario = config::ReadFrom<Scenario>(TextOf(plan, point), plan.scenario_file);
   RunOptions options;
   options.policy = point.policy;
   options.seed = point.seed;
   ordered_json values = ordered_json::object();
   for (std::size_t i = 0; i < plan.varied.size(); ++i) values[plan.varied[i].path] = point.values[i];
-  return {{"values", values},
-          {"policy", point.policy},
-          {"seed", point.seed},
-          {"result", Run(scenario, options).json}};
+  const RunResult result = Run(scenario, options);
+  return {{{"values", values}, {"policy", point.policy}, {"seed", point.seed}, {"result", result.json}},
+          result.events,
+          result.wall_s};
+}
+
+void CheckScenarios(const SweepPlan& plan, const std::vector<Point>& points) {
+  const std::vector<std::string>* checked = nullptr;  // points with the same values follow each other
+  for (const Point& point : points) {
+    if (checked && *checked == point.values) continue;
+    config::ReadFrom<Scenario>(TextOf(plan, point), plan.scenario_file);
+    checked = &point.values;
+  }
 }
 
 }  // namespace
@@ -142,7 +159,7 @@
 SweepReport Sweep(const SweepPlan& plan, const std::string& folder, unsigned threads,
                   const std::function<void(std::size_t, std::size_t)>& progress) {
   const std::vector<Point> points = PointsOf(plan);
-  for (const Point& point : points) config::ReadFrom<Scenario>(TextOf(plan, point), plan.scenario_file);
+  CheckScenarios(plan, points);
   fs::create_directories(folder);
   const fs::path plan_file = fs::path(folder) / "plan.json";
   const ordered_json plan_json = PlanJson(plan);
@@ -171,10 +188,12 @@
   std::mutex mutex;
   std::size_t done = report.done_before;
   InParallel(todo.size(), threads, [&](std::size_t k) {
-    const ordered_json body = RunPoint(plan, points[todo[k]]);
-    WritePoint(fs::path(folder) / NameOf(todo[k]), body);
+    const Played played = RunPoint(plan, points[todo[k]]);
+    WritePoint(fs::path(folder) / NameOf(todo[k]), played.body);
     const std::lock_guard lock(mutex);
-    count(body);
+    count(played.body);
+    report.events += played.events;
+    report.busy_s += played.busy_s;
     if (progress) progress(++done, points.size());
   });
   return report;
@@ -196,4 +215,46 @@
   return results;
 }
 
+std::string SweepTable(const std::vector<ordered_json>& results) {
+  struct Sum {
+    double goodput = 0;
+    int runs = 0;
+    double Mean() const { return goodput / runs; }
+  };
+  std::vector<std::string> lines, policies;
+  std::map<std::pair<std::string, std::string>, Sum> cells;
+  const auto add = [](std::vector<std::string>* to, const std::string& name) {
+    if (std::find(to->begin(), to->end(), name) == to->end()) to->push_back(name);
+  };
+  for (const ordered_json& point : results) {
+    std::string values;
+    for (const auto& [path, value] : point["values"].items())
+      values += fmt::format("{}{}={}", values.empty() ? "" : " ", path, value.get<std::string>());
+    const auto policy = point["policy"].get<std::string>();
+    add(&lines, values);
+    add(&policies, policy);
+    Sum& sum = cells[{values, policy}];
+    sum.goodput += point["result"]["goodput"].get<double>();
+    ++sum.runs;
+  }
+  std::size_t width = 8;
+  for (const std::string& line : lines) width = std::max(width, line.size());
+  std::string table = fmt::format("{:{}}", "goodput", width);
+  for (const std::string& policy : policies) table += fmt::format("  {:>10}", policy);
+  const bool ranked = std::count(policies.begin(), policies.end(), "ours") > 0 &&
+                      std::count(policies.begin(), policies.end(), "oracle") > 0;
+  table += ranked ? "   of oracle\n" : "\n";
+  for (const std::string& line : lines) {
+    table += fmt::format("{:{}}", line, width);
+    for (const std::string& policy : policies)
+      table += fmt::format("  {:10.4f}", cells[{line, policy}].Mean());
+    if (ranked) {
+      const double top = cells[{line, "oracle"}].Mean();
+      table += fmt::format("  {:10.4f}", top > 0 ? cells[{line, "ours"}].Mean() / top : 1);
+    }
+    table += '\n';
+  }
+  return table;
+}
+
 }  // namespace copperpoint::lab
--- a/src/lab/run/sweep.h
+++ b/src/lab/run/sweep.h
@@ -30,7 +30,9 @@
 
 struct SweepReport {
   std::size_t points = 0, done_before = 0, torn = 0;
-  std::int64_t broken = 0;  // rules broken by `ours`
+  std::int64_t broken = 0;   // rules broken by `ours`
+  std::uint64_t events = 0;  // of the points run now
+  double busy_s = 0;         // of cores, for these
 };
 
 // Throws std::invalid_argument where the folder holds another sweep, config::BadFile where a point makes the
@@ -42,6 +44,10 @@
 // std::runtime_error if it is no sweep, or not finished.
 std::vector<nlohmann::ordered_json> ReadSweep(const std::string& folder);
 
+// Goodput in the mean of the seeds: a line for each combination of values, a column for each policy, and how
+// much of the oracle's ours has, where both ran.
+std::string SweepTable(const std::vector<nlohmann::ordered_json>& results);
+
 }  // namespace copperpoint::lab
 
 #endif  // COPPERPOINT_LAB_RUN_SWEEP_H_
--- a/src/lab/scenario/scenario.cpp
+++ b/src/lab/scenario/scenario.cpp
@@ -157,6 +157,7 @@
 void Trouble::Describe(config::Visitor& v) {
   v.Choice<TroubleKind>("kind", kind,
                         {{"pauses", TroubleKind::kPauses},
+                         {"stall", TroubleKind::kStall},
                          {"vanish", TroubleKind::kVanish},
                          {"fast_errors", TroubleKind::kFastErrors},
                          {"slow", TroubleKind::kSlow},
--- a/src/lab/scenario/scenario.h
+++ b/src/lab/scenario/scenario.h
@@ -139,6 +139,7 @@
 
 enum class TroubleKind {
   kPauses,        // backends stand still for size ms, about every `every_ms`
+  kStall,         // backends stand still from its beginning to its end
   kVanish,        // machines go silent, come back cold at the end
   kFastErrors,    // backends fail `size` of their requests at once
   kSlow,          // backends take `size` times as long, their health still fine
--- a/src/lab/world/backend.h
+++ b/src/lab/world/backend.h
@@ -6,6 +6,7 @@
 #ifndef COPPERPOINT_LAB_WORLD_BACKEND_H_
 #define COPPERPOINT_LAB_WORLD_BACKEND_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -58,6 +59,8 @@
   // ---- what is seen ----
   Health health() const { return health_; }
   bool frozen(Micros now) const { return now < frozen_until_; }
+  // When what it says at `now` leaves it: a frozen process says nothing.
+  Micros SaysAt(Micros now) const { return std::max(now, frozen_until_); }
   std::uint32_t life() const { return life_; }
   Micros up_since() const { return up_since_; }  // 0: long ago
   int zone() const { return zone_; }
--- a/src/lab/world/fates.cpp
+++ b/src/lab/world/fates.cpp
@@ -41,6 +41,12 @@
       if (begins)
         for (const std::uint32_t b : targets) NextPause(b, index);
       return;
+    case TroubleKind::kStall:
+      if (begins)
+        for (const std::uint32_t b : targets) {
+          if (s_.backends[b].health() == Backend::Health::kUp) s_.backends[b].Freeze(s_.now(), EndOf(t));
+        }
+      return;
     case TroubleKind::kVanish:
     case TroubleKind::kLostZone:
       for (const std::uint32_t b : targets) begins ? Silence(b) : Return(b);
--- a/tests/lab/sweep_test.cpp
+++ b/tests/lab/sweep_test.cpp
@@ -78,6 +78,20 @@
   EXPECT_EQ(ReadSweep(out).size(), 24u);
 }
 
+TEST(Sweep, TableHasTheMeanOfTheSeedsAndTheShareOfTheOracle) {
+  std::vector<nlohmann::ordered_json> results;
+  for (const auto& [policy, goodput] : std::initializer_list<std::pair<const char*, double>>{
+           {"ours", 0.5}, {"ours", 0.7}, {"oracle", 0.8}, {"oracle", 0.8}}) {
+    results.push_back(
+        {{"values", {{"load.rate", "5"}}}, {"policy", policy}, {"result", {{"goodput", goodput}}}});
+  }
+  const std::string table = SweepTable(results);
+  for (const char* part : {"load.rate=5", "0.6000", "0.8000", "0.7500"})
+    EXPECT_NE(table.find(part), std::string::npos) << table;
+  results.resize(2);
+  EXPECT_EQ(SweepTable(results).find("oracle"), std::string::npos);
+}
+
 TEST(Sweep, AFolderOfAnotherSweepIsRefusedAndKept) {
   const TemporaryFolder folder;
   SweepPlan plan = Small();
