--- a/src/lab/world/service.cpp
+++ b/src/lab/world/service.cpp
@@ -370,8 +370,8 @@
   const Try& t = s_.At(slot);
   const Backend& b = s_.backends[t.attempts[n].backend];
   const Micros delay = s_.network.Delay(s_.now(), b.zone(), s_.proxies[t.proxy].zone);
-  s_.queue.Push(b.SaysAt(s_.now()) + delay, Rank::kBackend, kAnswer, n | static_cast<std::uint32_t>(outcome) << 8,
-                slot);
+  s_.queue.Push(b.SaysAt(s_.now()) + delay, Rank::kBackend, kAnswer,
+                n | static_cast<std::uint32_t>(outcome) << 8, slot);
 }
 
 void Service::OnAnswer(std::uint32_t slot, std::uint32_t attempt_and_outcome) {
