--- a/src/decision/balance.cpp
+++ b/src/decision/balance.cpp
@@ -456,9 +456,14 @@
     } else {
       out_->push_back(Fail{r.id});
     }
+    Unserved(r);
     r.finished = true;
   }
 
+  void Unserved(const Request& r) {
+    repeats_.Unserved(r.fingerprint, r.wish, r.wish.since + settings_.classes[r.cls].deadline);
+  }
+
   // Only a server that has gone silent gets a time-out short of the client's own: it owes answers, and has
   // owed them for longer than this class takes by mean + kDeviations deviations. Timing out what was merely
   // late doubled its work on every site. Zero also where no repeat is permitted or would come in time.
@@ -672,7 +677,9 @@
     }
     r.cls = e.request_class;
     const ClassSettings& c = settings_.classes[r.cls];
-    const Duration aim = c.aim - Elapsed(e);
+    r.fingerprint = overload::FingerprintOf(e);
+    r.wish = repeats_.Take(r.fingerprint, now_);
+    const Duration aim = c.aim - std::max(Elapsed(e), now_ - r.wish.since);
     const bool hinted = e.has_hint && std::isfinite(e.work_ms) && e.work_ms > 0;
     r.work = hinted ? std::min(e.work_ms, kMostWork) : request_work_.samples > 0 ? request_work_.mean : 1;
     if (hinted || request_work_.samples == 0) {
@@ -741,6 +748,7 @@
   void On(const ClientGone& e) {
     const auto found = requests_.find(e.request);
     if (found == requests_.end()) return;
+    if (!found->second.finished) Unserved(found->second);
     found->second.finished = true;
     Forget(found);
   }
@@ -996,6 +1004,7 @@
   std::size_t judged_ = 0;                  // servers that this proxy's traffic can judge
   KeyMemory key_memory_{kKeyMemory};
   Requests requests_;
+  overload::Repeats repeats_;
   std::set<std::tuple<double, Duration, RequestId>> held_;
   std::set<std::pair<TimePoint, RequestId>> wakeups_;
   std::vector<ClassState> classes_;
--- a/src/decision/measures.h
+++ b/src/decision/measures.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "copperpoint/balancer.h"
+#include "overload/repeats.h"
 
 namespace copperpoint {
 
@@ -125,6 +126,8 @@
   double value = 0;
   std::uint64_t key = 0;
   TimePoint arrived{}, due{}, refuse_at{};
+  std::uint64_t fingerprint = 0;
+  overload::Wish wish;  // of the client, that this is a try at
   std::vector<Attempt> attempts;
   bool finished = false, streaming = false, held = false;
   int outstanding() const {
