Under overload: repeats recognised, short waits, and the goal's worst class goes first

src/overload, without I/O: Repeats recognises a next try by class, account, key and hint (what several share names nobody); its aim counts from the first try. Priority ranks those that wait by what serving them adds to the operators' goal, which the settings tell. In a crowd a request waits for a place for 0.08 of its aim, the oldest of equal rank first; where nobody is answered at all, as long as before.

--- a/include/copperpoint/balancer.h
+++ b/include/copperpoint/balancer.h
@@ -48,6 +48,12 @@
   double quota_per_s = 0;  // requests a second within its share, over all proxies
 };
 
+// What service is judged by: weights of the worth served of all that was asked, of that of the worst-served
+// class, and of that of the worst-served tenant within its share.
+struct Goal {
+  double whole = 1, worst_class = 0, worst_tenant = 0;
+};
+
 // Defaults are the documented meaning of an absent optional setting; none of them steers a decision.
 struct Settings {
   int balancers = 1;
@@ -55,6 +61,7 @@
   int zone = 0;
   std::vector<ClassSettings> classes;
   std::vector<TenantSettings> tenants;
+  Goal goal;
   double over_share_worth = 1;
   double price_cross_zone = 0;
   bool warm_keys = false;  // a server that served a key lately serves it again with less work
--- a/src/adapter/settings.cpp
+++ b/src/adapter/settings.cpp
@@ -113,6 +113,9 @@
     settings.tenants.push_back(tenant);
   }
 
+  settings.goal.whole = pairs.NumberOr("goal.whole", 1, 0, 1);
+  settings.goal.worst_class = pairs.NumberOr("goal.worstClass", 0, 0, 1);
+  settings.goal.worst_tenant = pairs.NumberOr("goal.worstTenant", 0, 0, 1);
   settings.over_share_worth = pairs.NumberOr("overShareWorth", 1, 0, 1);
   settings.price_cross_zone = pairs.NumberOr("deductions.crossZone", 0);
   settings.warm_keys = pairs.Word("specifics.warmKeys", "false") == "true";
--- a/src/decision/balance.cpp
+++ b/src/decision/balance.cpp
@@ -14,6 +14,7 @@
 
 #include "copperpoint/balancer.h"
 #include "decision/measures.h"
+#include "overload/priority.h"
 
 namespace copperpoint {
 namespace {
@@ -50,6 +51,7 @@
 constexpr double kDeviations = 4;           // time-out: mean + 4 deviations, as RFC 6298
 constexpr double kWindowMargin = 0.9;       // of the window in which a keyed repeat is dropped
 constexpr double kQueueShare = 0.33;        // of the aim that an attempt may take, in the mean
+constexpr double kWaitShare = 0.08;         // of its aim that a request waits for a place
 constexpr double kChance = 1;               // deviations of the number in flight that are no overload
 constexpr double kCrowding = 3;        // and of what a mean request takes at servers that are not crowded
 constexpr Duration kGoodMemory{1500};  // averaging of the work answered, for the limit of the whole proxy
@@ -183,7 +185,8 @@
 
 class Balancer::Impl {
  public:
-  Impl(Settings settings, std::uint64_t seed) : settings_(std::move(settings)), random_(seed) {
+  Impl(Settings settings, std::uint64_t seed)
+      : settings_(std::move(settings)), random_(seed), priority_(settings_) {
     classes_.resize(settings_.classes.size());
     tenant_tokens_.resize(settings_.tenants.size(), 1);
   }
@@ -456,12 +459,25 @@
     } else {
       out_->push_back(Fail{r.id});
     }
-    Unserved(r);
-    r.finished = true;
+    Settle(r, may.refuse || settings_.classes[r.cls].effect == Effect::kSafe);
+  }
+
+  // Unless nobody has been answered since it came: that is no crowd but a silence, and may end at any time.
+  void GiveUp(Request& r) {
+    if (last_answer_ > r.arrived || now_ >= r.patient_until) return Finish(r, StayAway(r));
+    r.refuse_at = r.patient_until;
+    wakeups_.emplace(r.refuse_at, r.id);
   }
 
-  void Unserved(const Request& r) {
-    repeats_.Unserved(r.fingerprint, r.wish, r.wish.since + settings_.classes[r.cls].deadline);
+  // Its end, whoever brought it about. Clients repeat what was refused, and what is safe after any failure.
+  void Settle(Request& r, bool may_return) {
+    r.finished = true;
+    const Duration deadline = settings_.classes[r.cls].deadline;
+    if (may_return) {
+      repeats_.Unserved(r.fingerprint, r.wish, r.wish.since + deadline);
+    } else {
+      repeats_.Final(r.fingerprint, now_ + deadline);
+    }
   }
 
   // Only a server that has gone silent gets a time-out short of the client's own: it owes answers, and has
@@ -521,7 +537,7 @@
         !(e.outcome == Outcome::kFull || e.outcome == Outcome::kConnectFailed || e.outcome == Outcome::kMoot);
     Learn(r, e, servers_[a.server]);
     room_ = true;
-    if (e.settled) r.finished = true;
+    if (e.settled && !r.finished) Settle(r, /*may_return=*/e.outcome != Outcome::kOk);
     if (!r.finished && r.outstanding() == 0 && !r.held)
       Again(r, a.may_have_run || e.outcome == Outcome::kFull);
     Forget(found);
@@ -543,7 +559,10 @@
     if (e.outcome == Outcome::kCancelled || e.outcome == Outcome::kMoot || e.outcome == Outcome::kUnknown)
       return;
     outcomes_ = std::min(kYoung, outcomes_ + 1);
+    last_answer_ = now_;
     if (ok) served_work_ += r.work, ++answered_;
+    if (ok && now_ <= r.wish.since + settings_.classes[r.cls].aim)
+      priority_.InTime(r.cls, r.tenant, r.work, r.within_share);
     const double took = e.took.count();
     LearnZone(r, s, ok && now_ <= r.arrived + settings_.classes[r.cls].aim, ok);
     const bool timed = ok || e.outcome == Outcome::kTimeout;
@@ -678,7 +697,7 @@
     r.cls = e.request_class;
     const ClassSettings& c = settings_.classes[r.cls];
     r.fingerprint = overload::FingerprintOf(e);
-    r.wish = repeats_.Take(r.fingerprint, now_);
+    r.wish = repeats_.Arrived(r.fingerprint, now_);
     const Duration aim = c.aim - std::max(Elapsed(e), now_ - r.wish.since);
     const bool hinted = e.has_hint && std::isfinite(e.work_ms) && e.work_ms > 0;
     r.work = hinted ? std::min(e.work_ms, kMostWork) : request_work_.samples > 0 ? request_work_.mean : 1;
@@ -688,7 +707,10 @@
     }
     mean_aim_.Add(c.aim.count());
     asked_work_ += r.work;
-    r.value = c.worth * (WithinShare(e.tenant) ? 1 : settings_.over_share_worth);
+    r.tenant = e.tenant;
+    r.within_share = WithinShare(e.tenant);
+    if (r.wish.tries == 1) priority_.Asked(r.cls, r.tenant, r.work, r.within_share);
+    r.value = c.worth * (r.within_share ? 1 : settings_.over_share_worth);
     // What is too large to be in time is worth little, or nothing: it must not take the place of others. Each
     // such finding weakens the next: a slow spell must not shut a class out for good.
     const bool at_ease = fleet_.thin && Pressure() < kAtEase;  // it takes nobody's place, and may be lucky
@@ -697,7 +719,10 @@
     if (alone > c.aim) stretch_ *= 1 - 5 * kStretchGain;
     if (r.value <= 0 || Throttled(r)) return Finish(r, StayAway(r));
     const Duration useful = aim - Duration(classes_[r.cls].latency.mean + classes_[r.cls].latency.deviation);
-    r.refuse_at = std::min(r.due - settings_.tick * 2, now_ + std::max(useful, c.aim / 4));
+    // In a crowd a place is free soon or never: who waits for long comes back, refused, when it is too late.
+    r.patient_until = std::min(r.due - settings_.tick * 2, now_ + std::max(useful, c.aim / 4));
+    const Duration crowded = std::clamp(useful, Duration(0), c.aim * kWaitShare);
+    r.refuse_at = FitsProxy() ? r.patient_until : std::min(r.patient_until, now_ + crowded);
     Request& kept = requests_.emplace(r.id, std::move(r)).first->second;
     Place(kept);
     Forget(requests_.find(e.request));
@@ -722,14 +747,15 @@
       Finish(r, StayAway(r));
     } else if (!r.held) {
       r.held = true;
-      held_.emplace(-r.value, -r.arrived.time_since_epoch(), r.id);
+      r.rank = r.value / settings_.classes[r.cls].worth * priority_.Of(r.cls, r.within_share ? r.tenant : -1);
+      held_.emplace(-r.rank, r.arrived.time_since_epoch(), r.id);
       wakeups_.emplace(r.refuse_at, r.id);
     }
     return false;
   }
 
   void Unhold(Request& r) {
-    if (r.held) held_.erase({-r.value, -r.arrived.time_since_epoch(), r.id});
+    if (r.held) held_.erase({-r.rank, r.arrived.time_since_epoch(), r.id});
     r.held = false;
   }
 
@@ -748,8 +774,7 @@
   void On(const ClientGone& e) {
     const auto found = requests_.find(e.request);
     if (found == requests_.end()) return;
-    if (!found->second.finished) Unserved(found->second);
-    found->second.finished = true;
+    if (!found->second.finished) Settle(found->second, /*may_return=*/true);
     Forget(found);
   }
 
@@ -899,7 +924,7 @@
       wakeups_.erase(wakeups_.begin());
       if (found == requests_.end()) continue;
       Request& r = found->second;
-      if (r.held && now_ >= r.refuse_at) Finish(r, StayAway(r));
+      if (r.held && now_ >= r.refuse_at) GiveUp(r);
       Forget(found);
     }
   }
@@ -957,6 +982,7 @@
       answered_ = served_work_ = asked_work_ = 0;
       LearnWarmRate(Duration(elapsed));
       ResizeSubset();
+      priority_.Forget(Duration(elapsed));
     }
     for (std::size_t t = 0; t < tenant_tokens_.size(); ++t) {
       const double rate = settings_.tenants[t].quota_per_s / settings_.balancers / 1000;
@@ -1004,7 +1030,9 @@
   std::size_t judged_ = 0;                  // servers that this proxy's traffic can judge
   KeyMemory key_memory_{kKeyMemory};
   Requests requests_;
+  TimePoint last_answer_{};
   overload::Repeats repeats_;
+  overload::Priority priority_;
   std::set<std::tuple<double, Duration, RequestId>> held_;
   std::set<std::pair<TimePoint, RequestId>> wakeups_;
   std::vector<ClassState> classes_;
--- a/src/lab/report/metrics.cpp
+++ b/src/lab/report/metrics.cpp
@@ -82,6 +82,13 @@
   return worst;
 }
 
+double Metrics::Goal() const {
+  const Goals& g = scenario_.goal;
+  const double all = g.whole + g.worst_class + g.worst_account;
+  if (all <= 0) return Goodput();
+  return (g.whole * Goodput() + g.worst_class * WorstClass() + g.worst_account * WorstAccount()) / all;
+}
+
 double Metrics::AttemptsPerRequest() const {
   return first_tries > 0 ? static_cast<double>(attempts) / static_cast<double>(first_tries) : 0;
 }
@@ -98,6 +105,7 @@
 nlohmann::ordered_json Metrics::Json() const {
   nlohmann::ordered_json json{
       {"goodput", Rounded(Goodput())},
+      {"goal", Rounded(Goal())},
       {"mean_ms", Rounded(latency_.Mean())},
       {"p50_ms", Rounded(latency_.Quantile(0.5))},
       {"p99_ms", Rounded(latency_.Quantile(0.99))},
--- a/src/lab/scenario/scenario.cpp
+++ b/src/lab/scenario/scenario.cpp
@@ -154,6 +154,12 @@
            {.text = "news count as told this long after the last call", .unit = "ms", .least = 100});
 }
 
+void Goals::Describe(config::Visitor& v) {
+  v.Number("whole", whole, {.text = "weight of the goodput of the whole run", .most = 1});
+  v.Number("worst_class", worst_class, {.text = "of that of the worst-served class", .most = 1});
+  v.Number("worst_account", worst_account, {.text = "of that of the worst-served account", .most = 1});
+}
+
 void Trouble::Describe(config::Visitor& v) {
   v.Choice<TroubleKind>("kind", kind,
                         {{"pauses", TroubleKind::kPauses},
@@ -198,6 +204,7 @@
   v.Section("network", "What lies between them.", network);
   v.Section("discovery", "The service that names the backends.", discovery);
   v.Section("rules", "What proxies must keep, and are told.", rules);
+  v.Section("goal", "What service is judged by; proxies are told.", goal);
   v.Items("trouble", "Something that goes wrong; several may overlap.", troubles);
   v.Check("class", !classes.empty(), "at least one is wanted");
   v.Check("account", !accounts.empty(), "at least one is wanted");
--- a/src/lab/scenario/scenario.h
+++ b/src/lab/scenario/scenario.h
@@ -126,6 +126,13 @@
   void Describe(config::Visitor& v);
 };
 
+// What the operators judge by: weights, as the policies are told.
+struct Goals {
+  double whole = 1, worst_class = 0, worst_account = 0;
+
+  void Describe(config::Visitor& v);
+};
+
 struct Rules {
   double answer_slack_ms = 20;
   double drain_grace_ms = 500;
@@ -179,6 +186,7 @@
   Wires network;
   Registry discovery;
   Rules rules;
+  Goals goal;
   std::vector<Trouble> troubles;
 
   void Describe(config::Visitor& v);
--- a/src/lab/world/day.cpp
+++ b/src/lab/world/day.cpp
@@ -100,6 +100,7 @@
     s.classes.push_back(settings);
   }
   for (const Account& a : scenario.accounts) s.tenants.push_back({a.quota > 0 ? a.quota : 1e9});
+  s.goal = {scenario.goal.whole, scenario.goal.worst_class, scenario.goal.worst_account};
   s.over_share_worth = scenario.rules.over_share_worth;
   s.price_cross_zone = scenario.rules.cross_zone_price;
   s.must_ask_for_list = scenario.discovery.ask;
--- a/src/overload/repeats.cpp
+++ b/src/overload/repeats.cpp
@@ -16,45 +16,52 @@
   return std::max<std::uint64_t>(1, XXH64(same, sizeof same, 0));
 }
 
+TimePoint Repeats::Known::Until() const { return std::max({may_return_until, final_until, shared_until}); }
+
+Wish Repeats::Arrived(std::uint64_t fingerprint, TimePoint now) {
+  Forget(now);
+  if (fingerprint == 0) return {now, 1};
+  auto found = known_.find(fingerprint);
+  if (found == known_.end()) {
+    if (known_.size() >= kMostKept) return {now, 1};
+    found = known_.try_emplace(fingerprint).first;
+  }
+  Known& known = found->second;
+  if (known.open > 0 || now < known.final_until) known.shared_until = now + kShared;
+  ++known.open;
+  if (now < known.shared_until || now >= known.may_return_until) return {now, 1};
+  known.may_return_until = TimePoint{};  // one next try for each that ended
+  return {known.ended.since, known.ended.tries + 1};
+}
+
+Repeats::Known* Repeats::End(std::uint64_t fingerprint) {
+  const auto found = known_.find(fingerprint);
+  if (found == known_.end() || found->second.open == 0) return nullptr;
+  --found->second.open;
+  return &found->second;
+}
+
 void Repeats::Unserved(std::uint64_t fingerprint, const Wish& wish, TimePoint until) {
-  if (fingerprint == 0) return;
-  while (kept_ >= kMostKept) Forget(order_.front().until);
-  ended_[fingerprint].push_back({wish, until});
-  order_.push_back({until, fingerprint});
-  ++kept_;
+  Known* known = End(fingerprint);
+  if (!known) return;
+  known->ended = wish;
+  known->may_return_until = until;
+  order_.push_back({known->Until(), fingerprint});
 }
 
-Wish Repeats::Take(std::uint64_t fingerprint, TimePoint now) {
-  while (!order_.empty() && order_.front().until < now) Forget(now);
-  const auto found = ended_.find(fingerprint);
-  if (fingerprint == 0 || found == ended_.end()) return {now, 1};
-  // The oldest that can still come: a client does not wait longer than it has to.
-  while (!found->second.empty() && found->second.front().until < now) {
-    found->second.pop_front();
-    --kept_;
-  }
-  if (found->second.empty()) {
-    ended_.erase(found);
-    return {now, 1};
-  }
-  const Wish wish = found->second.front().wish;
-  found->second.pop_front();
-  --kept_;
-  if (found->second.empty()) ended_.erase(found);
-  return {wish.since, wish.tries + 1};
+void Repeats::Final(std::uint64_t fingerprint, TimePoint until) {
+  Known* known = End(fingerprint);
+  if (!known) return;
+  known->final_until = until;
+  order_.push_back({known->Until(), fingerprint});
 }
 
-// The place at the front with what it stands for, if that is still there and no later than `now`.
 void Repeats::Forget(TimePoint now) {
-  const Place place = order_.front();
-  order_.pop_front();
-  const auto found = ended_.find(place.fingerprint);
-  if (found == ended_.end()) return;
-  while (!found->second.empty() && found->second.front().until <= std::max(now, place.until)) {
-    found->second.pop_front();
-    --kept_;
+  while (!order_.empty() && order_.front().at <= now) {
+    const auto found = known_.find(order_.front().fingerprint);
+    order_.pop_front();
+    if (found != known_.end() && found->second.open == 0 && found->second.Until() <= now) known_.erase(found);
   }
-  if (found->second.empty()) ended_.erase(found);
 }
 
 }  // namespace copperpoint::overload
--- /dev/null
+++ b/tests/overload_test.cpp
@@ -0,0 +1,217 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Who comes again, and who goes first, when not all can be served.
+#include <gtest/gtest.h>
+
+#include "copperpoint/balancer.h"
+#include "harness.h"
+#include "overload/priority.h"
+#include "overload/repeats.h"
+
+namespace copperpoint::overload {
+namespace {
+
+using copperpoint::testing::At;
+using copperpoint::testing::Class;
+using copperpoint::testing::Rig;
+using copperpoint::testing::Usual;
+
+Submit Asking(int cls, int tenant, std::uint64_t key, double work) {
+  Submit submit;
+  submit.request_class = cls;
+  submit.tenant = tenant;
+  submit.key = key;
+  submit.has_hint = work > 0;
+  submit.work_ms = work;
+  return submit;
+}
+
+TEST(Fingerprint, IsOfWhatATryHasInCommonWithTheNext) {
+  const Submit one = Asking(1, 2, 3, 4.5);
+  Submit again = one;
+  again.request = 99;
+  again.due = At(7);
+  EXPECT_EQ(FingerprintOf(one), FingerprintOf(again));
+  for (const Submit& other :
+       {Asking(0, 2, 3, 4.5), Asking(1, 0, 3, 4.5), Asking(1, 2, 0, 4.5), Asking(1, 2, 3, 4.25)})
+    EXPECT_NE(FingerprintOf(one), FingerprintOf(other));
+  EXPECT_EQ(FingerprintOf(Asking(1, 2, 0, 0)), 0u) << "class and account alone name nobody";
+  EXPECT_NE(FingerprintOf(Asking(1, 2, 3, 0)), 0u);
+}
+
+TEST(Repeats, ATryAfterOneThatEndedUnservedBelongsToItsWish) {
+  Repeats repeats;
+  Wish wish = repeats.Arrived(7, At(100));
+  EXPECT_EQ(wish.tries, 1);
+  repeats.Unserved(7, wish, At(1000));
+  wish = repeats.Arrived(7, At(300));
+  EXPECT_EQ(wish.tries, 2);
+  EXPECT_EQ(wish.since, At(100));
+  repeats.Unserved(7, wish, At(1000));
+  wish = repeats.Arrived(7, At(500));
+  EXPECT_EQ(wish.tries, 3);
+  EXPECT_EQ(wish.since, At(100));
+}
+
+TEST(Repeats, NobodyReturnsAfterTheDeadlineOrTwiceForOneTry) {
+  Repeats repeats;
+  repeats.Unserved(7, repeats.Arrived(7, At(0)), At(1000));
+  EXPECT_EQ(repeats.Arrived(7, At(1000)).tries, 1);
+  repeats.Unserved(8, repeats.Arrived(8, At(0)), At(1000));
+  EXPECT_EQ(repeats.Arrived(8, At(1)).tries, 2);
+  EXPECT_EQ(repeats.Arrived(8, At(2)).tries, 1);
+  EXPECT_EQ(repeats.Arrived(0, At(0)).tries, 1);
+}
+
+// A constant hint, or a popular key without one: whoever comes next may be anybody.
+TEST(Repeats, WhatSeveralShareNamesNoneOfThem) {
+  Repeats repeats;
+  const Wish one = repeats.Arrived(7, At(0));
+  const Wish other = repeats.Arrived(7, At(1));
+  repeats.Unserved(7, one, At(1000));
+  repeats.Unserved(7, other, At(1000));
+  EXPECT_EQ(repeats.Arrived(7, At(10)).tries, 1);
+
+  repeats.Arrived(8, At(0));
+  repeats.Final(8, At(500));
+  repeats.Unserved(8, repeats.Arrived(8, At(100)), At(1100));
+  EXPECT_EQ(repeats.Arrived(8, At(200)).tries, 1) << "one like it was served a moment ago";
+}
+
+TEST(Repeats, MemoryIsBoundedAndGivenBack) {
+  Repeats repeats;
+  for (std::uint64_t f = 1; f <= Repeats::kMostKept + 100; ++f) {
+    const Wish wish = repeats.Arrived(f, At(0));
+    repeats.Unserved(f, wish, At(1000));
+  }
+  EXPECT_EQ(repeats.kept(), Repeats::kMostKept);
+  EXPECT_EQ(repeats.Arrived(5, At(10)).tries, 2);
+  repeats.Final(5, At(900));
+  repeats.Arrived(0, At(2000));
+  EXPECT_EQ(repeats.kept(), 0u);
+}
+
+Settings Judged(Goal goal) {
+  Settings s = Usual();
+  s.classes = {Class(Effect::kSafe), Class(Effect::kUnsafe)};
+  s.classes[0].worth = 5;
+  s.classes[1].worth = 3;
+  s.tenants = {{100}, {100}};
+  s.goal = goal;
+  return s;
+}
+
+TEST(Priority, IsTheWorthWhereNothingElseIsAskedFor) {
+  Priority priority(Judged({1, 0, 0}));
+  priority.Asked(1, 0, 100, true);
+  EXPECT_DOUBLE_EQ(priority.Of(0, 0), 5);
+  EXPECT_DOUBLE_EQ(priority.Of(1, 0), 3);
+  EXPECT_EQ(priority.Of(7, 0), 0);
+  EXPECT_DOUBLE_EQ(priority.Of(0, -1), 5);
+}
+
+TEST(Priority, TheWorstServedClassRisesBySoMuchAsTheGoalGainsByIt) {
+  Priority priority(Judged({0.5, 0.35, 0}));
+  priority.Asked(0, 0, 70, true);   // 350 of worth
+  priority.Asked(1, 0, 50, true);   // 150
+  priority.InTime(0, 0, 70, true);  // all
+  priority.InTime(1, 0, 25, true);  // half
+  EXPECT_DOUBLE_EQ(priority.Of(0, 0), 5 * 0.5);
+  EXPECT_DOUBLE_EQ(priority.Of(1, 0), 3 * (0.5 + 0.35 * 500 / 150));
+  EXPECT_GT(priority.Of(1, 0), priority.Of(0, 0));
+  priority.InTime(1, 0, 25, true);
+  priority.Asked(0, 0, 70, true);  // now this one is at half
+  EXPECT_GT(priority.Of(0, 0), priority.Of(1, 0));
+}
+
+TEST(Priority, WhatIsBeyondItsShareDoesNotRaiseAnAccount) {
+  Priority priority(Judged({0.5, 0, 0.5}));
+  priority.Asked(0, 0, 10, true);
+  priority.InTime(0, 0, 10, true);
+  priority.Asked(0, 1, 10, true);
+  priority.InTime(0, 1, 9, true);
+  EXPECT_GT(priority.Of(0, 1), priority.Of(0, 0));
+  Priority beyond(Judged({0.5, 0, 0.5}));
+  beyond.Asked(0, 0, 10, true);
+  beyond.InTime(0, 0, 9, true);
+  beyond.Asked(0, 1, 1000, false);
+  EXPECT_GT(beyond.Of(0, 0), beyond.Of(0, 1)) << "the storm of one account moves no other aside";
+}
+
+TEST(Priority, SharesAreForgotten) {
+  Priority priority(Judged({0.5, 0.5, 0}));
+  priority.Asked(0, 0, 1000, true);
+  priority.InTime(0, 0, 1000, true);
+  priority.Asked(1, 0, 1000, true);
+  priority.Forget(Priority::kMemory * 20);
+  priority.Asked(0, 0, 1, true);
+  priority.Asked(1, 0, 1, true);
+  priority.InTime(1, 0, 1, true);
+  EXPECT_GT(priority.Of(0, 0), priority.Of(1, 0));
+}
+
+// Two are out, the proxy's limit; what comes then has to wait.
+class Crowded : public ::testing::Test {
+ protected:
+  Crowded() : rig_(Limited()) {
+    rig_.Servers(1);
+    for (RequestId id : {1u, 2u}) EXPECT_TRUE(rig_.Ask(id, 0, 10 + static_cast<double>(id), 900).has_value());
+  }
+  static Settings Limited() {
+    Settings s = Usual();
+    s.balancers = 2;
+    s.max_retry_after = Duration(800);
+    return s;
+  }
+  const Refuse* Refused(RequestId id) {
+    for (const Action& a : rig_.actions) {
+      const auto* refuse = std::get_if<Refuse>(&a);
+      if (refuse && refuse->request == id) return refuse;
+    }
+    return nullptr;
+  }
+  Rig rig_;
+};
+
+TEST_F(Crowded, WhoComesAgainWhenItsAimHasPassedIsRefusedAtOnceAndToldToStayAway) {
+  rig_.Ask(10, 0, 5, 900);
+  rig_.End(1, 0, 1, Outcome::kOk, 20);  // somebody is answered: a crowd, no silence
+  EXPECT_TRUE(rig_.SentTo(10).has_value());
+  rig_.Ask(11, 0, 6, 900);
+  rig_.Tick(5);
+  rig_.End(2, 0, 1, Outcome::kOk, 20);
+  rig_.Ask(12, 0, 7, 900);
+  rig_.Tick(5);
+  rig_.Ask(13, 0, 8, 900);
+  rig_.Tick(250);  // 12 and 13 have been refused long since; the aim is 200
+  rig_.End(10, 0, 1, Outcome::kOk, 20);
+  rig_.End(11, 0, 1, Outcome::kOk, 20);
+  EXPECT_TRUE(rig_.Ask(20, 0, 4, 900).has_value()) << "there is room for others";
+  EXPECT_FALSE(rig_.Ask(22, 0, 8, 900).has_value()) << "but not for 13 anew";
+  const Refuse* refuse = Refused(22);
+  ASSERT_NE(refuse, nullptr);
+  EXPECT_EQ(refuse->retry_after, Duration(800));
+}
+
+TEST_F(Crowded, WhileSomeAreAnsweredAPlaceIsWaitedForBrieflyAndInASilenceForLonger) {
+  rig_.Ask(10, 0, 5, 900);
+  rig_.Tick(1);
+  rig_.Ask(11, 0, 6, 900);
+  rig_.Tick(30);
+  EXPECT_EQ(Refused(10), nullptr) << "nobody was answered since: a silence";
+  rig_.Tick(1);
+  rig_.End(1, 0, 1, Outcome::kOk, 20);
+  EXPECT_TRUE(rig_.SentTo(10).has_value());
+  // As many more as there is room for, and a few that wait.
+  RequestId last = 12;
+  for (int waiting = 0; waiting < 8; ++last) waiting += !rig_.Ask(last, 0, static_cast<double>(last), 900);
+  rig_.Tick(1);
+  rig_.End(2, 0, 1, Outcome::kOk, 20);
+  const RequestId newest = last - 1;
+  ASSERT_FALSE(rig_.SentTo(newest).has_value()) << "older ones are before it";
+  rig_.Tick(30);  // more than 0.08 of the aim
+  EXPECT_NE(Refused(newest), nullptr);
+}
+
+}  // namespace
+}  // namespace copperpoint::overload
