--- a/src/decision/balance.cpp
+++ b/src/decision/balance.cpp
@@ -41,7 +41,8 @@
 constexpr double kMostSharers = 64;     // proxies that hold a connection to one server
 constexpr double kGoldenRatio = 0.6180339887498949;
 constexpr double kZoneGain = 0.1;           // of one answer, in what the own zone and the others lose
-constexpr double kColdCaution = 0.52;       // of the fall multiple: the rest is for chance and for late news
+constexpr double kColdCaution = 0.6;        // of the fall multiple: the rest is for chance and for late news
+constexpr double kServedBy = 0.3;           // of the servers of late, that may have served what is served now
 constexpr double kColdLeast = 0.25;         // standard cores that a warm server has at the very least
 constexpr Duration kWarmRateMemory{30000};  // of what a warm server serves: it does not lose its cores
 constexpr int kYoung = 10;                  // outcomes; before, what is asked stands for what is served
@@ -424,11 +425,12 @@
   // Work a ms that a warm server serves for this proxy. Pooled over the fleet, as one server's own answers
   // are too few to tell. A young proxy goes by what it is asked for: it has no answers yet. What was seen
   // once holds for a while: in a rolling deploy that leaves no warm server, a budget of what is served now
-  // starved itself.
+  // starved itself. What was served of late
+  // was served by those in service then: after a loss of most, the few left can't do the work of all.
   void LearnWarmRate(Duration elapsed) {
     if (in_service_ <= 0) return;
-    const double now_rate =
-        (outcomes_ < kYoung ? std::max(work_rate_, asked_rate_) : work_rate_) / in_service_;
+    const double now_rate = (outcomes_ < kYoung ? std::max(work_rate_, asked_rate_) : work_rate_) /
+                            std::max(in_service_, kServedBy * served_by_);
     warm_rate_ += std::min(1.0, elapsed / kWarmRateMemory) * (now_rate - warm_rate_);
     warm_rate_ = std::max(warm_rate_, now_rate);
   }
@@ -999,6 +1001,7 @@
       const double slow_gain = std::max(elapsed / kRateMemory.count(), 1.0 / samples_);
       work_rate_ += std::min(1.0, slow_gain) * (served_work_ / elapsed - work_rate_);
       asked_rate_ += std::min(1.0, slow_gain) * (asked_work_ / elapsed - asked_rate_);
+      served_by_ += std::min(1.0, slow_gain) * (in_service_ - served_by_);
       answered_ = served_work_ = asked_work_ = 0;
       LearnWarmRate(Duration(elapsed));
       ResizeSubset();
@@ -1048,7 +1051,8 @@
   std::vector<Server> servers_;
   boost::unordered_flat_map<ServerId, ServerIndex> index_;
   OutlierDetector::Fleet fleet_;
-  double warm_rate_ = 0;
+  double warm_rate_ = 0,
+         served_by_ = 0;                // work a ms of a warm server; servers in service, averaged as work is
   double listed_ = 0, in_service_ = 0;  // servers ready and of these not ejected; a cold one as its share
   TimePoint next_return_ = kNever;
   bool some_cold_ = false;
--- a/src/lab/report/metrics.cpp
+++ b/src/lab/report/metrics.cpp
@@ -133,7 +133,10 @@
                     {"cross_zone", cross_zone},
                     {"probes", probes},
                     {"unreachable", unreachable},
-                    {"discovery_calls", discovery_calls}};
+                    {"discovery_calls", discovery_calls},
+                    {"repeats_here", repeats_here},
+                    {"recognised", recognised},
+                    {"mistaken", mistaken}};
   auto& classes = json["classes"] = nlohmann::ordered_json::object();
   for (std::size_t i = 0; i < classes_.size(); ++i)
     classes[scenario_.classes[i].name] = Rounded(classes_[i].Share());
--- a/src/lab/report/metrics.h
+++ b/src/lab/report/metrics.h
@@ -49,6 +49,8 @@
                failed = 0;
   std::int64_t attempts = 0, turned_away = 0, errors = 0, timeouts = 0, connect_failed = 0, resets = 0;
   std::int64_t connections = 0, cross_zone = 0, probes = 0, unreachable = 0, discovery_calls = 0;
+  // Tries of whose wish an earlier one came to the same proxy; those taken for repeats, rightly and wrongly.
+  std::int64_t repeats_here = 0, recognised = 0, mistaken = 0;
   double executed_ms = 0, useful_ms = 0;
 
   double Goodput() const { return whole_.Share(); }
--- a/src/lab/world/crowd.cpp
+++ b/src/lab/world/crowd.cpp
@@ -33,7 +33,7 @@
   Try& t = s_.At(slot);
   t.wish = wish;
   t.wish_due = wish.at + FromMs(c.deadline_ms);
-  t.tries_left = s_.scenario.clients.retry == Retry::kNone ? 0 : s_.scenario.clients.retries;
+  t.tries_left = s_.MostRepeats();
   s_.metrics.Asked(wish.at, wish.cls, wish.account, WorthOf(wish));
   s_.queue.Push(s_.now() + s_.network.ClientDelay(), Rank::kClient, kRetry, 0, slot);
   SetDue(t, wish.at);
@@ -118,7 +118,7 @@
   const RequestClass& c = s_.scenario.classes[t.wish.cls];
   const double took = ToMs(heard - t.wish.at);
   s_.metrics.Served(t.wish.at, t.wish.cls, t.wish.account, WorthOf(t.wish), took, took <= c.aim_ms,
-                    t.tries_left < s_.scenario.clients.retries);
+                    t.tries_left < s_.MostRepeats());
 }
 
 // A client repeats what is safe after any failure, and what is not safe only after a refusal.
@@ -136,6 +136,7 @@
   fresh.wish = old.wish;
   fresh.wish_due = old.wish_due;
   fresh.tries_left = old.tries_left - 1;
+  fresh.was_at = old.was_at;
   SetDue(fresh, at);
   s_.queue.Push(at + s_.network.ClientDelay(), Rank::kClient, kRetry, 0, again);
 }
--- a/src/lab/world/service.cpp
+++ b/src/lab/world/service.cpp
@@ -62,6 +62,7 @@
   p.last_call = s_.now();
   p.events.clear();
   p.connections.clear();
+  p.recognition = Recognition();
   Random seeds(s_.day.seed, "proxy", ++lives_);
   p.policy = make_(proxy, seeds.Bits());
   s_.observer.ProxyStarted(proxy);
@@ -128,7 +129,7 @@
 // ---- requests -----------------------------------------------------------------------------------------
 
 void Service::Take(std::uint32_t slot) {
-  const Try& t = s_.At(slot);
+  Try& t = s_.At(slot);
   Submit submit;
   submit.request = State::IdOf(slot, t);
   submit.due = State::Time(t.due);
@@ -137,10 +138,22 @@
   submit.key = t.wish.key;
   submit.has_hint = t.wish.hint_ms > 0;
   submit.work_ms = t.wish.hint_ms;
-  submit.client_retry = s_.scenario.clients.marks_retry && t.tries_left < s_.scenario.clients.retries;
+  submit.client_retry = s_.scenario.clients.marks_retry && t.tries_left < s_.MostRepeats();
+  Recognise(t, submit);
   Feed(t.proxy, submit);
 }
 
+// On a large fleet a repeat hardly ever meets the same proxy, and the marks of a try hold 64.
+bool Service::RecognitionIsMeasured() const { return s_.proxies.size() <= 64; }
+
+void Service::Recognise(Try& t, const Submit& submit) {
+  if (!RecognitionIsMeasured()) return;
+  const std::uint64_t here = std::uint64_t{1} << t.proxy;
+  t.recognised = s_.proxies[t.proxy].recognition.Arrived(s_.time(), submit, t.tries_left < s_.MostRepeats(),
+                                                         (t.was_at & here) != 0, &s_.metrics);
+  t.was_at |= here;
+}
+
 Try* Service::Held(std::uint32_t proxy, RequestId request, std::uint32_t* slot) {
   *slot = Low(request);
   if (*slot >= s_.tries.size()) return nullptr;
@@ -161,6 +174,11 @@
   Try& t = s_.At(slot);
   s_.observer.Answered(s_.now(), State::IdOf(slot, t), t.proxy, t.final);
   t.final = true;
+  if (RecognitionIsMeasured()) {
+    const RequestClass& c = s_.scenario.classes[t.wish.cls];
+    const bool may_return = final == Final::kRefused || (final == Final::kFailed && c.safe);
+    s_.proxies[t.proxy].recognition.Ended(s_.time(), t.recognised, may_return, Duration(c.deadline_ms));
+  }
   s_.Tell(slot, "final answer: {}",
           final == Final::kServed    ? "served"
           : final == Final::kRefused ? "refused"
--- a/src/lab/world/service.h
+++ b/src/lab/world/service.h
@@ -76,6 +76,8 @@
   Observer::Attempts Judged(const Try& t) const;
   void Send(std::uint32_t slot, std::uint32_t attempt);
   void End(std::uint32_t slot, std::uint32_t attempt, Outcome outcome);
+  bool RecognitionIsMeasured() const;
+  void Recognise(Try& t, const Submit& submit);
   void Conclude(std::uint32_t slot, Final final, Duration retry_after);
   void Reply(std::uint32_t slot, std::uint32_t attempt, Outcome outcome);
   void Run(std::uint32_t backend, const Backend::Started& started);
--- a/src/lab/world/state.h
+++ b/src/lab/world/state.h
@@ -24,6 +24,7 @@
 #include "lab/world/day.h"
 #include "lab/world/network.h"
 #include "lab/world/observer.h"
+#include "lab/world/recognition.h"
 
 namespace copperpoint::lab {
 
@@ -78,6 +79,8 @@
   Micros arrived = 0, due = 0;
   bool taken = false, final = false, client_done = false;
   std::uint8_t runs = 0, hops = 0;
+  std::uint64_t was_at = 0;  // of the first 64 proxies, those that tries of this wish have reached
+  Recognised recognised;
   boost::container::small_vector<Attempt, 2> attempts;
 };
 
@@ -94,6 +97,7 @@
   bool alive = false, drained = false;
   std::deque<Event> events;  // waiting for Handle to be free
   bool handling = false;
+  Recognition recognition;
   boost::unordered_flat_map<std::uint32_t, Connections> connections;
   // Discovery.
   std::size_t revision = 0;  // of the change log, up to which it has been told
@@ -124,6 +128,8 @@
   TimePoint time() const { return Time(now()); }
 
   std::uint32_t NewTry();
+  // A client's tries of one wish beyond the first.
+  int MostRepeats() const { return scenario.clients.retry == Retry::kNone ? 0 : scenario.clients.retries; }
   Try& At(std::uint64_t slot) { return tries[slot]; }
   // The request's id for its proxy: never the same twice.
   static RequestId IdOf(std::uint32_t slot, const Try& t) {
