--- a/src/lab/run/sweep.cpp
+++ b/src/lab/run/sweep.cpp
@@ -246,9 +246,9 @@
 
 std::string SweepTable(const std::vector<ordered_json>& results) {
   struct Sum {
-    double goodput = 0;
+    double goal = 0;
     int runs = 0;
-    double Mean() const { return goodput / runs; }
+    double Mean() const { return goal / runs; }
   };
   std::vector<std::string> lines, policies;
   std::map<std::pair<std::string, std::string>, Sum> cells;
@@ -264,12 +264,13 @@
     add(&lines, values);
     add(&policies, policy);
     Sum& sum = cells[{values, policy}];
-    sum.goodput += point["result"]["goodput"].get<double>();
+    const ordered_json& result = point["result"];
+    sum.goal += result.value("goal", result["goodput"].get<double>());
     ++sum.runs;
   }
   std::size_t width = 8;
   for (const std::string& line : lines) width = std::max(width, line.size());
-  std::string table = fmt::format("{:{}}", "goodput", width);
+  std::string table = fmt::format("{:{}}", "goal", width);
   for (const std::string& policy : policies) table += fmt::format("  {:>10}", policy);
   const bool ranked = std::count(policies.begin(), policies.end(), "ours") > 0 &&
                       std::count(policies.begin(), policies.end(), "oracle") > 0;
--- a/src/lab/run/sweep.h
+++ b/src/lab/run/sweep.h
@@ -44,9 +44,10 @@
 // std::runtime_error if it is no sweep, or not finished.
 std::vector<nlohmann::ordered_json> ReadSweep(const std::string& folder);
 
-// Goodput in the mean of the seeds: a line for each combination of values, a column for each policy, and how
-// much of the oracle's ours has, where both ran. Then, where runs have a trouble that ends, how many of them
-// were as good as before within Recovery::kAfterS, and the goodput of that time.
+// The scenario's goal (goodput, if it sets none) in the mean of the seeds: a line for each combination of
+// values, a column for each policy, and how much of the oracle's ours has, where both ran. Then, where runs
+// have a trouble that ends, how many of them were as good as before within Recovery::kAfterS, and the goodput
+// of that time.
 std::string SweepTable(const std::vector<nlohmann::ordered_json>& results);
 
 }  // namespace copperpoint::lab
