Said once: log names, reading a file, the ring's order, the axes of a heat map

Reading the whole change again: serve had its own lists of log levels and formats beside the log's; the laboratory read files with a copy of the configuration's reader; the ring was ordered in two ways that had to agree; heat maps gathered the names of their axes point by point, and would have left out a key whose name is part of another's; gates took an argument that none of them reads.

--- a/src/cli/lab.cpp
+++ b/src/cli/lab.cpp
@@ -6,7 +6,6 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
-#include <iterator>
 #include <memory>
 #include <string>
 #include <vector>
@@ -31,14 +30,8 @@
   unsigned threads = 0;
 };
 
-std::string Contents(const std::string& file) {
-  std::ifstream in(file, std::ios::binary);
-  if (!in) throw config::BadFile(file, {{0, 0, "", "cannot be read"}});
-  return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
-}
-
 std::string TextOf(const Options& options) {
-  std::string text = Contents(options.scenario);
+  std::string text = config::Contents(options.scenario);
   for (const std::string& set : options.set) {
     const std::size_t equals = set.find('=');
     if (equals == std::string::npos) throw std::invalid_argument("--set " + set + ": KEY=VALUE is wanted");
@@ -152,7 +145,7 @@
   if (sweep) {
     charts = lab::ChartsOfSweep(lab::ReadSweep(options.input));
   } else {
-    const auto json = nlohmann::ordered_json::parse(Contents(options.input), nullptr, false);
+    const auto json = nlohmann::ordered_json::parse(config::Contents(options.input), nullptr, false);
     if (!json.is_object() || !(json.contains("runs") || json.contains("windows")))
       throw std::invalid_argument(options.input + ": is no result of lab run or lab compare");
     charts = lab::ChartsOfComparison(json);
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -2,13 +2,35 @@
 #include "proxy/serve.h"
 
 #include <cstdlib>
-#include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "cli/commands.h"
 
 namespace copperpoint::cli {
+namespace {
+
+// An option that takes one of the names. `to` must outlive the parsing.
+template <typename Value>
+void AddWord(CLI::App* app, const char* option, const std::vector<std::pair<std::string, Value>>& names,
+             std::optional<Value>* to, const char* what) {
+  std::vector<std::string> words;
+  for (const auto& [word, value] : names) words.push_back(word);
+  app->add_option_function<std::string>(
+         option,
+         [&names, to](const std::string& chosen) {
+           for (const auto& [word, value] : names) {
+             if (word == chosen) *to = value;
+           }
+         },
+         what)
+      ->check(CLI::IsMember(words));
+}
+
+}  // namespace
 
 void AddServe(CLI::App& app) {
   auto options = std::make_shared<proxy::ServeOptions>();
@@ -18,23 +40,9 @@
       "(docs/operations.md).\n"
       "Example: ROUTER_CONFIG=proxy.json copperpoint serve --config deploy/copperpoint.toml");
   serve->add_option("--config", options->operators_file, "The operator's file (docs/configuration.md)");
-  static const std::map<std::string, log::Level> kLevels = {{"debug", log::Level::kDebug},
-                                                            {"info", log::Level::kInfo},
-                                                            {"warn", log::Level::kWarn},
-                                                            {"error", log::Level::kError},
-                                                            {"off", log::Level::kOff}};
-  static const std::map<std::string, log::Format> kFormats = {{"text", log::Format::kText},
-                                                              {"json", log::Format::kJson}};
-  serve
-      ->add_option_function<std::string>(
-          "--log-level", [options](const std::string& word) { options->log_level = kLevels.at(word); },
-          "debug, info, warn, error or off; before the file's")
-      ->check(CLI::IsMember({"debug", "info", "warn", "error", "off"}));
-  serve
-      ->add_option_function<std::string>(
-          "--log-format", [options](const std::string& word) { options->log_format = kFormats.at(word); },
-          "text or json; before the file's")
-      ->check(CLI::IsMember({"text", "json"}));
+  AddWord(serve, "--log-level", log::LevelNames(), &options->log_level,
+          "debug, info, warn, error or off; before the file's");
+  AddWord(serve, "--log-format", log::FormatNames(), &options->log_format, "text or json; before the file's");
   serve->callback([options] { proxy::Serve(*options, [](const char* name) { return std::getenv(name); }); });
 }
 
--- a/src/config/read.cpp
+++ b/src/config/read.cpp
@@ -199,12 +199,16 @@
   throw BadFile(file, std::move(faults));
 }
 
-void ReadFile(const std::string& file, const std::function<void(Visitor&)>& describe) {
+std::string Contents(const std::string& file) {
   std::ifstream in(file, std::ios::binary);
   if (!in) throw BadFile(file, {{0, 0, "", "cannot be read"}});
-  const std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+  std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
   if (in.bad()) throw BadFile(file, {{0, 0, "", "cannot be read to its end"}});
-  ReadText(text, file, describe);
+  return text;
+}
+
+void ReadFile(const std::string& file, const std::function<void(Visitor&)>& describe) {
+  ReadText(Contents(file), file, describe);
 }
 
 }  // namespace copperpoint::config
--- a/src/config/read.h
+++ b/src/config/read.h
@@ -34,11 +34,14 @@
   std::vector<Fault> faults_;
 };
 
+// All of a file. Throws BadFile if it can't be read.
+std::string Contents(const std::string& file);
+
 // Passes a reading visitor to `describe`. Throws BadFile on unknown keys, wrong types, values out of range
 // and whatever the struct checks itself; the struct is then half filled and must be dropped.
 void ReadText(std::string_view text, const std::string& file, const std::function<void(Visitor&)>& describe);
 
-// The same of a file. Throws BadFile also if it can't be read.
+// The same of a file.
 void ReadFile(const std::string& file, const std::function<void(Visitor&)>& describe);
 
 template <typename Struct>
--- a/src/decision/balance.cpp
+++ b/src/decision/balance.cpp
@@ -425,8 +425,8 @@
   // Work a ms that a warm server serves for this proxy. Pooled over the fleet, as one server's own answers
   // are too few to tell. A young proxy goes by what it is asked for: it has no answers yet. What was seen
   // once holds for a while: in a rolling deploy that leaves no warm server, a budget of what is served now
-  // starved itself. What was served of late
-  // was served by those in service then: after a loss of most, the few left can't do the work of all.
+  // starved itself. What was served of late was served by those in service then: after a loss of most, the
+  // few left can't do the work of all.
   void LearnWarmRate(Duration elapsed) {
     if (in_service_ <= 0) return;
     const double now_rate = (outcomes_ < kYoung ? std::max(work_rate_, asked_rate_) : work_rate_) /
@@ -843,7 +843,7 @@
       ring_.clear();
       std::vector<std::pair<std::uint32_t, ServerIndex>> places;
       places.reserve(servers_.size());
-      for (const Server& s : servers_) places.emplace_back(MixBits(s.entry.server), IndexOf(s));
+      for (const Server& s : servers_) places.push_back(PlaceOf(IndexOf(s)));
       std::sort(places.begin(), places.end());
       for (const auto& [place, i] : places) ring_.push_back(i);
     }
@@ -851,14 +851,15 @@
     room_ = true;
   }
 
-  bool OnRing(ServerIndex a, ServerIndex b) const {
-    return std::pair(MixBits(servers_[a].entry.server), a) < std::pair(MixBits(servers_[b].entry.server), b);
+  std::pair<std::uint32_t, ServerIndex> PlaceOf(ServerIndex i) const {
+    return {MixBits(servers_[i].entry.server), i};
   }
 
   // A change of one server must not sort the fleet anew.
   void JoinRing(ServerIndex i) {
-    const auto place = std::lower_bound(ring_.begin(), ring_.end(), i,
-                                        [this](ServerIndex a, ServerIndex b) { return OnRing(a, b); });
+    const auto place = std::lower_bound(ring_.begin(), ring_.end(), i, [this](ServerIndex a, ServerIndex b) {
+      return PlaceOf(a) < PlaceOf(b);
+    });
     if (place == ring_.end() || *place != i) ring_.insert(place, i);
   }
 
@@ -1054,8 +1055,8 @@
   std::vector<Server> servers_;
   boost::unordered_flat_map<ServerId, ServerIndex> index_;
   OutlierDetector::Fleet fleet_;
-  double warm_rate_ = 0,
-         served_by_ = 0;                // work a ms of a warm server; servers in service, averaged as work is
+  double warm_rate_ = 0;                // work a ms that a warm server serves for this proxy
+  double served_by_ = 0;                // servers in service, averaged as the work served is
   double listed_ = 0, in_service_ = 0;  // servers ready and of these not ejected; a cold one as its share
   TimePoint next_return_ = kNever;
   bool some_cold_ = false;
--- a/src/lab/policies/gates.cpp
+++ b/src/lab/policies/gates.cpp
@@ -30,7 +30,7 @@
 class Gradient : public Gate {
  public:
   bool Admits(TimePoint, const Submit&, int in_flight) override { return in_flight < limit_; }
-  void Answered(TimePoint, bool, double took_ms, double work_ms, int in_flight) override {
+  void Answered(TimePoint, double took_ms, double work_ms, int in_flight) override {
     const double time = took_ms / std::max(work_ms, 1.0);
     short_ += (short_ <= 0 ? 1 : kShort) * (time - short_);
     long_ += (long_ <= 0 ? 1 : kLong) * (time - long_);
@@ -55,7 +55,7 @@
     next_ = now + kInterval / std::sqrt(count_);
     return false;
   }
-  void Answered(TimePoint now, bool, double took_ms, double work_ms, int) override {
+  void Answered(TimePoint now, double took_ms, double work_ms, int) override {
     const double wait = wait_.Of(took_ms, work_ms);
     if (now >= ends_) {
       const bool over = least_ > target_ && ends_ != TimePoint{};
@@ -88,7 +88,7 @@
     admitted_ += admitted;
     return admitted;
   }
-  void Answered(TimePoint, bool, double took_ms, double work_ms, int) override {
+  void Answered(TimePoint, double took_ms, double work_ms, int) override {
     waited_ += wait_.Of(took_ms, work_ms);
     ++answers_;
   }
@@ -134,7 +134,7 @@
  public:
   explicit Breakwater(double target_ms) : target_(target_ms) {}
   bool Admits(TimePoint, const Submit&, int in_flight) override { return in_flight < credits_; }
-  void Answered(TimePoint now, bool, double took_ms, double work_ms, int) override {
+  void Answered(TimePoint now, double took_ms, double work_ms, int) override {
     wait_ms_ += kGain * (wait_.Of(took_ms, work_ms) - wait_ms_);
     if (now < next_) return;
     next_ = now + kRound;
--- a/src/lab/policies/policies.cpp
+++ b/src/lab/policies/policies.cpp
@@ -47,7 +47,7 @@
   virtual int Pick(const Open& open) = 0;
   virtual bool MayRepeat() { return false; }
   virtual bool Admits(const Submit&) { return true; }
-  virtual void Answered(const Open&, bool, double) {}
+  virtual void Answered(const Open&, double) {}
   virtual void First() {}
   virtual void Grown(std::size_t) {}
   virtual void Sent(int) {}
@@ -101,8 +101,7 @@
     if (found == open_.end()) return;
     Open& open = found->second;
     open.out = false;
-    if (e.outcome == Outcome::kOk || e.outcome == Outcome::kTimeout)
-      Answered(open, e.outcome == Outcome::kOk, e.took.count());
+    if (e.outcome == Outcome::kOk || e.outcome == Outcome::kTimeout) Answered(open, e.took.count());
     if (e.settled) {
       open_.erase(found);
       return;
@@ -192,8 +191,8 @@
     return repeats_.most > 0 && repeated_ < repeats_.most;
   }
   bool Admits(const Submit& e) override { return !gate_ || gate_->Admits(now_, e, out_now_); }
-  void Answered(const Open& open, bool ok, double took) override {
-    if (gate_) gate_->Answered(now_, ok, took, open.submit.work_ms, out_now_);
+  void Answered(const Open& open, double took) override {
+    if (gate_) gate_->Answered(now_, took, open.submit.work_ms, out_now_);
   }
   void First() override { tokens_ = std::min(100.0, tokens_ + 0.2); }
   void Grown(std::size_t n) override { picker_->Resize(n); }
--- a/src/lab/report/plot.cpp
+++ b/src/lab/report/plot.cpp
@@ -222,29 +222,28 @@
 
 namespace {
 
+void Append(std::string* list, const std::string& word) { *list += (list->empty() ? "" : ", ") + word; }
+
 // How service came back, for each policy: the first varied key across, all others together down.
 std::vector<Chart> HeatMaps(const std::vector<ordered_json>& results) {
   const std::tuple<const char*, const char*, double, double> figures[] = {
       {"after", "goodput in the 5 s after the trouble", 0, 1},
       {"back_s", "seconds until goodput is back", 10, 0}};
+  const auto& varied = results.front()["values"];
+  const std::string x_path = varied.empty() ? "" : varied.begin().key();
+  std::string y_path;
+  for (const auto& [path, value] : varied.items()) {
+    if (path != x_path) Append(&y_path, path);
+  }
   std::vector<Chart> charts;
   for (const auto& [key, name, coldest, hottest] : figures) {
     std::map<std::string, std::map<std::pair<std::string, std::string>, std::pair<double, int>>> sums;
     std::vector<std::pair<std::string, std::pair<std::string, std::string>>> order;
-    std::string x_path, y_path;
     for (const ordered_json& point : results) {
       if (!point["result"].contains("recovery")) continue;
       std::pair<std::string, std::string> at;
-      for (const auto& [path, value] : point["values"].items()) {
-        const bool first = &value == &point["values"].begin().value();
-        if (first) {
-          x_path = path;
-          at.first = value.get<std::string>();
-          continue;
-        }
-        if (y_path.find(path) == std::string::npos) y_path += (y_path.empty() ? "" : ", ") + path;
-        at.second += (at.second.empty() ? "" : ", ") + value.get<std::string>();
-      }
+      for (const auto& [path, value] : point["values"].items())
+        Append(path == x_path ? &at.first : &at.second, value.get<std::string>());
       const std::string policy = point["policy"];
       auto& [sum, n] = sums[policy][at];
       if (n == 0) order.emplace_back(policy, at);
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -12,8 +12,6 @@
 #include <vector>
 
 namespace copperpoint::log {
-namespace {
-
 const std::vector<std::pair<std::string, Level>>& LevelNames() {
   static const std::vector<std::pair<std::string, Level>> names = {{"debug", Level::kDebug},
                                                                    {"info", Level::kInfo},
@@ -23,6 +21,14 @@
   return names;
 }
 
+const std::vector<std::pair<std::string, Format>>& FormatNames() {
+  static const std::vector<std::pair<std::string, Format>> names = {{"text", Format::kText},
+                                                                    {"json", Format::kJson}};
+  return names;
+}
+
+namespace {
+
 const std::string& NameOf(Level level) { return LevelNames()[static_cast<std::size_t>(level)].first; }
 
 std::string Timestamp(std::chrono::system_clock::time_point at) {
@@ -80,8 +86,8 @@
 
 void Settings::Describe(config::Visitor& v) {
   v.Choice("level", level, LevelNames(), {.text = "the least severe lines that are written"});
-  v.Choice<Format>("format", format, {{"text", Format::kText}, {"json", Format::kJson}},
-                   {.text = "`text`: `TIME LEVEL EVENT key=value ...`; `json`: one object a line"});
+  v.Choice("format", format, FormatNames(),
+           {.text = "`text`: `TIME LEVEL EVENT key=value ...`; `json`: one object a line"});
   v.Whole32("lines_per_s", lines_per_s,
             {.text = "lines below `error` beyond this are left out and counted",
              .unit = "lines/s",
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -17,7 +17,9 @@
 #include <string>
 #include <string_view>
 #include <type_traits>
+#include <utility>
 #include <variant>
+#include <vector>
 
 #include "config/schema.h"
 
@@ -26,6 +28,10 @@
 enum class Level { kDebug, kInfo, kWarn, kError, kOff };
 enum class Format { kText, kJson };
 
+// What they are called in files and on the command line.
+const std::vector<std::pair<std::string, Level>>& LevelNames();
+const std::vector<std::pair<std::string, Format>>& FormatNames();
+
 struct Settings {
   Level level = Level::kInfo;
   Format format = Format::kText;
