Log events for who counts: each request's end with its reason, each attempt's outcome

Cause: refusals had no reason, and nothing told requests and attempts apart across a fleet.

The module names why it refuses or fails.

--- a/include/copperpoint/balancer.h
+++ b/include/copperpoint/balancer.h
@@ -147,9 +147,11 @@
 struct Refuse {  // final; tells the client that another try is harmless
   RequestId request = 0;
   Duration retry_after{0};  // 0: no advice
+  const char* why = "";     // for who counts refusals: one of a few words that the module has
 };
 struct Fail {  // final; promises nothing
   RequestId request = 0;
+  const char* why = "";
 };
 struct SetTimer {
   TimePoint at{};
--- a/src/decision/balance.cpp
+++ b/src/decision/balance.cpp
@@ -457,7 +457,7 @@
     return may;
   }
 
-  void Finish(Request& r, Duration retry_after = Duration(0)) {
+  void Finish(Request& r, const char* why, Duration retry_after = Duration(0)) {
     const Permission may = Permitted(r);
     if (MayLog(kEnding))
       LogLine((may.refuse ? "refusing: " : "failing: ") +
@@ -466,9 +466,9 @@
                    : "last at server " + std::to_string(servers_[r.attempts.back().server].entry.server)) +
               "; " + std::to_string(in_flight_) + " in flight, " + std::to_string(held_.size()) + " held");
     if (may.refuse) {
-      out_->push_back(Refuse{r.id, retry_after});
+      out_->push_back(Refuse{r.id, retry_after, why});
     } else {
-      out_->push_back(Fail{r.id});
+      out_->push_back(Fail{r.id, why});
     }
     ++counts_.refused;
     Settle(r, may.refuse || settings_.classes[r.cls].effect == Effect::kSafe);
@@ -476,7 +476,7 @@
 
   // Unless nobody has been answered since it came: that is no crowd but a silence, and may end at any time.
   void GiveUp(Request& r) {
-    if (last_answer_ > r.arrived || now_ >= r.patient_until) return Finish(r, StayAway(r));
+    if (last_answer_ > r.arrived || now_ >= r.patient_until) return Finish(r, "no_place", StayAway(r));
     r.refuse_at = r.patient_until;
     wakeups_.emplace(r.refuse_at, r.id);
   }
@@ -557,7 +557,8 @@
 
   // After a failed attempt: another one where permitted, within the budget of repeats if it adds load.
   void Again(Request& r, bool adds_load) {
-    if (!Permitted(r).dispatch || (adds_load && retry_tokens_ < 1)) return Finish(r);
+    if (!Permitted(r).dispatch) return Finish(r, "no_repeat");
+    if (adds_load && retry_tokens_ < 1) return Finish(r, "retry_budget");
     r.refuse_at = std::max(r.refuse_at, std::min(r.due - settings_.tick * 2, now_ + settings_.tick * 4));
     Place(r);
   }
@@ -708,7 +709,7 @@
     r.key = e.key;
     if (e.request_class < 0 || e.request_class >= static_cast<int>(settings_.classes.size())) {
       // Nothing is known of what it may do twice, and it never ran: the client may try again.
-      out_->push_back(Refuse{r.id, Duration(0)});
+      out_->push_back(Refuse{r.id, Duration(0), "unknown_class"});
       return;
     }
     r.cls = e.request_class;
@@ -738,7 +739,8 @@
     const Duration alone(at_ease || stretch_votes_ < kLeastVotes ? 0 : r.work * stretch_);
     if (alone > aim) r.value *= now_ + alone > r.due ? 0 : c.late_worth;
     if (alone > c.aim) stretch_ *= 1 - 5 * kStretchGain;
-    if (r.value <= 0 || Throttled(r)) return Finish(r, StayAway(r));
+    if (r.value <= 0) return Finish(r, "too_large", StayAway(r));
+    if (Throttled(r)) return Finish(r, "throttled", StayAway(r));
     const Duration useful = aim - Duration(classes_[r.cls].latency.mean + classes_[r.cls].latency.deviation);
     // In a crowd a place is free soon or never: who waits for long comes back, refused, when it is too late.
     r.patient_until = std::min(r.due - settings_.tick * 2, now_ + std::max(useful, c.aim / 4));
@@ -768,7 +770,7 @@
       return true;
     }
     if (!may.dispatch || now_ >= r.refuse_at) {
-      Finish(r, StayAway(r));
+      Finish(r, may.dispatch ? "no_place" : "no_repeat", StayAway(r));
     } else if (!r.held) {
       r.held = true;
       r.rank =
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -37,6 +37,12 @@
   return static_cast<std::size_t>(PeerDescriptors(config) * config.shares.clients);
 }
 
+const char* NameOf(Outcome outcome) {
+  static constexpr const char* kNames[] = {"ok",    "error",     "full", "timeout", "connect_failed",
+                                           "reset", "cancelled", "moot", "unknown"};
+  return kNames[static_cast<std::size_t>(outcome)];
+}
+
 // One folder may serve proxies of several names.
 std::string StateFile(const Config& config, const char* what) {
   if (config.state_folder.empty()) return "";
@@ -368,6 +374,8 @@
   submit.client_retry = request.client_retry;
   submit.work_ms = request.work_ms;
   Pending& pending = pending_[id];
+  pending.arrived = Steady::now();
+  pending.request_class = request.request_class;
   open_ids_.emplace(request.message["Req-Id"]);
   pending.message = std::make_shared<const HttpRequest>(std::move(request.message));
   pending.due = request.due;
@@ -377,7 +385,24 @@
   return id;
 }
 
+// One line for each request, for who counts across a fleet.
+void Proxy::Ended(RequestId request, const char* how, const char* why) const {
+  if (!log::Global().Enabled(log::Level::kDebug)) return;
+  const auto found = pending_.find(request);
+  if (found == pending_.end() || !found->second.responder) return;
+  const Pending& of = found->second;
+  log::Global().Debug("request_ended",
+                      {{"request", request},
+                       {"class", of.request_class},
+                       {"how", how},
+                       {"why", why},
+                       {"attempts", of.attempts},
+                       {"after_ms", Duration(Steady::now() - of.arrived).count()},
+                       {"allowed_ms", Duration(of.due - of.arrived).count()}});
+}
+
 void Proxy::OnClientGone(RequestId request) {
+  Ended(request, "client_gone");
   if (!Conclude(request)) return;
   ForgetIfOver(request);
   Feed(ClientGone{request});
@@ -419,8 +444,14 @@
   end.outcome = result.outcome;
   end.took = Steady::now() - result.written.value_or(sent);
   const auto found = pending_.find(request);
+  log::Global().Debug("attempt_ended", {{"request", request},
+                                        {"attempt", attempt},
+                                        {"server", server},
+                                        {"outcome", NameOf(end.outcome)},
+                                        {"took_ms", end.took.count()}});
   if (found != pending_.end()) found->second.attempt_out = false;
   if (result.outcome == Outcome::kOk) {
+    Ended(request, "served");
     if (const auto responder = Conclude(request)) {
       responder->Served(std::move(result.response), std::move(result.rest), result.length);
     }
@@ -462,11 +493,13 @@
 }
 
 void Proxy::Do(const Refuse& action) {
+  Ended(action.request, "refused", action.why);
   if (const auto responder = Conclude(action.request)) responder->Refused(action.retry_after);
   ForgetIfOver(action.request);
 }
 
 void Proxy::Do(const Fail& action) {
+  Ended(action.request, "failed", action.why);
   if (const auto responder = Conclude(action.request)) responder->Failed();
   ForgetIfOver(action.request);
 }
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -68,7 +68,8 @@
   struct Pending {
     std::shared_ptr<const HttpRequest> message;
     std::shared_ptr<Upload> upload;  // null if the message is whole
-    Steady::time_point due{};
+    Steady::time_point arrived{}, due{};
+    int request_class = -1;
     std::shared_ptr<Responder> responder;  // null once answered
     int attempts = 0;
     bool attempt_out = false;
@@ -104,6 +105,7 @@
                      AttemptResult result);
   std::shared_ptr<Responder> Conclude(RequestId request);
   void ForgetIfOver(RequestId request);
+  void Ended(RequestId request, const char* how, const char* why = "") const;
   void ArmTimer();
 
   boost::asio::io_context& io_;
