Many proxies refuse the same wishes, and cold budgets take no cold fleet for an able one

At fault: Balancer::Throttled, which drew by chance, and knew nothing of requests that found no place.

Change: arrivals are refused by a hash of what all tries of a wish share, so that all proxies refuse the same; one that found no place counts as having taken all of its aim; answers may take 0.4 of it. Cold servers count as the root of their share, half the servers of late must have served what is served, kinds are learnt four times as fast.

--- a/src/decision/balance.cpp
+++ b/src/decision/balance.cpp
@@ -42,7 +42,7 @@
 constexpr double kGoldenRatio = 0.6180339887498949;
 constexpr double kZoneGain = 0.1;           // of one answer, in what the own zone and the others lose
 constexpr double kColdCaution = 0.6;        // of the fall multiple: the rest is for chance and for late news
-constexpr double kServedBy = 0.3;           // of the servers of late, that may have served what is served now
+constexpr double kServedBy = 0.5;           // of the servers of late, that may have served what is served now
 constexpr double kColdLeast = 0.25;         // standard cores that a warm server has at the very least
 constexpr Duration kWarmRateMemory{30000};  // of what a warm server serves: it does not lose its cores
 constexpr int kYoung = 10;                  // outcomes; before, what is asked stands for what is served
@@ -57,7 +57,11 @@
 constexpr double kChance = 1;               // deviations of the number in flight that are no overload
 constexpr double kCrowding = 3;        // and of what a mean request takes at servers that are not crowded
 constexpr Duration kGoodMemory{1500};  // averaging of the work answered, for the limit of the whole proxy
-constexpr double kAimShare = 0.7;      // of their aims that answers may take in the mean: the rest is spread
+constexpr double kAimShare = 0.4;      // of their aims that answers may take in the mean: the rest is spread
+constexpr double kShedding = 2;        // power of the pressure by which less is let in
+constexpr int kMany = 16;              // proxies; of fewer, one soon sees a client again
+constexpr double kNoPlace = 1;         // share of its aim that one without a place counts as
+constexpr double kAimGain = 0.05;      // of one answer, in the share of the aim that answers take
 constexpr double kAtEase = 0.7;        // of the pressure at which the throttle starts
 constexpr double kMostFloor = 4;       // in flight at a proxy while answers come as fast as ever
 constexpr double kCrowdingGain = 0.1;  // of one answer
@@ -66,7 +70,7 @@
 constexpr double kLeastPerServer = 3;      // in flight at a server, of all proxies, that are always in order
 constexpr double kStretchGain = 0.01;      // of a slower answer; a faster one counts ten times as much
 constexpr double kSlownessGain = 0.08;     // of one answer
-constexpr double kKindGain = 0.01;         // of one answer, in how slow its kind of server is
+constexpr double kKindGain = 0.04;         // of one answer, in how slow its kind of server is
 constexpr double kMostSlowness = 8;        // one answer counts as no slower than this
 constexpr Duration kSlownessMemory{4000};  // what is not confirmed is forgotten
 constexpr double kSlownessWeight = 1;      // of the time lost at a slow server, against work in flight
@@ -425,7 +429,9 @@
   // are too few to tell. A young proxy goes by what it is asked for: it has no answers yet. What was seen
   // once holds for a while: in a rolling deploy that leaves no warm server, a budget of what is served now
   // starved itself. What was served of late was served by those in service then: after a loss of most, the
-  // few left can't do the work of all.
+  // few left can't do the work of all. A cold one counts as the root of its share
+  // among them: by its least share, a fleet half of which was cold took its warm servers for three times as
+  // able as they were (join+vast, in the laboratory), and counted whole, an all cold one starved itself.
   void LearnWarmRate(Duration elapsed) {
     if (in_service_ <= 0) return;
     const double now_rate = (outcomes_ < kYoung ? std::max(work_rate_, asked_rate_) : work_rate_) /
@@ -475,11 +481,16 @@
 
   // Unless nobody has been answered since it came: that is no crowd but a silence, and may end at any time.
   void GiveUp(Request& r) {
-    if (last_answer_ > r.arrived || now_ >= r.patient_until) return Finish(r, "no_place", StayAway(r));
+    if (last_answer_ > r.arrived || now_ >= r.patient_until) return NoPlace(r);
     r.refuse_at = r.patient_until;
     wakeups_.emplace(r.refuse_at, r.id);
   }
 
+  void NoPlace(Request& r) {
+    of_aim_ += kAimGain * (kNoPlace - of_aim_);
+    Finish(r, "no_place", StayAway(r));
+  }
+
   // Its end, whoever brought it about. Clients repeat what was refused, and what is safe after any failure.
   void Settle(Request& r, bool may_return) {
     r.finished = true;
@@ -595,8 +606,7 @@
       const double usual = std::min(stretch_ * std::max(r.work, request_work_.mean / 2),
                                     0.5 * settings_.classes[r.cls].aim.count());
       crowding_ += kCrowdingGain * (std::min(took / usual, kMostCrowding) - crowding_);
-      of_aim_ +=
-          kCrowdingGain * (std::min(took / settings_.classes[r.cls].aim.count(), kMostCrowding) - of_aim_);
+      of_aim_ += kAimGain * (std::min(took / settings_.classes[r.cls].aim.count(), kMostCrowding) - of_aim_);
     }
     if (ok && r.work >= request_work_.mean && took > 0) {
       const double x = took / r.work;
@@ -660,16 +670,21 @@
   // are.
   double Floor() const { return std::clamp(1.5 * kMostFloor / std::max(crowding_, 0.1), 1.0, kMostFloor); }
 
-  // Exception, where traffic is thin: a limit of one or two in flight is too coarse to keep servers from
-  // choking. Arrivals are refused by chance, by how much of their aims answers take (a fleet with a third of
-  // it gone answered everything, half of it late: i6ba857); those over their tenant share go first. Not by
-  // how crowded answers are: what is refused here comes to another proxy, too late, and a fleet of a hundred
-  // proxies refused half of its tries while answers took a sixth of their aims.
+  // Exception, where many proxies share the traffic: a limit of one or two in flight is too coarse to keep
+  // servers from choking, and who is refused comes back to another proxy, which cannot know it. So arrivals
+  // are refused by a hash of what a client's tries have in common (as DAGOR does by user): all proxies refuse
+  // the same wishes, whose repeats cost no server anything, and the rest is served at its first try. Refused
+  // by chance, most of what was served were repeats, too late (zone+vast: a fleet that could serve four in
+  // five served one in three in time). How many are refused goes by how much of their aims answers take (a
+  // fleet with a third of it gone answered everything, half of it late: i6ba857); one that found no place
+  // took all of it. Those over their tenant share go first.
   bool Throttled(const Request& r) {
     const double pressure = Pressure();
-    if (!fleet_.thin || pressure <= 1) return false;
+    if (!(fleet_.thin || settings_.balancers >= kMany) || pressure <= 1) return false;
     const bool over_share = r.value < settings_.classes[r.cls].worth;
-    return random_.Unit() > std::pow(pressure, over_share ? -4 : -2);
+    const double place =
+        r.fingerprint != 0 ? MixBits(static_cast<std::uint32_t>(r.fingerprint)) * 0x1.0p-32 : random_.Unit();
+    return place > std::pow(pressure, over_share ? -2 * kShedding : -kShedding);
   }
 
   double Pressure() const { return of_aim_ / kAimShare; }
@@ -770,7 +785,7 @@
       return true;
     }
     if (!may.dispatch || now_ >= r.refuse_at) {
-      Finish(r, may.dispatch ? "no_place" : "no_repeat", StayAway(r));
+      may.dispatch ? NoPlace(r) : Finish(r, "no_repeat", StayAway(r));
     } else if (!r.held) {
       r.held = true;
       r.rank =
@@ -900,7 +915,7 @@
     s.entry.state = state;
   }
 
-  // Servers that are listed, and that are in service; a cold one counts as its share.
+  // Servers that are listed, a cold one as its share; and that are in service, a cold one as that one's root.
   void CountCapacity() {
     listed_ = in_service_ = 0;
     some_cold_ = false;
@@ -909,7 +924,7 @@
       const double share = WarmShare(s);
       some_cold_ |= share < 1;
       listed_ += share;
-      in_service_ += s.health.ejected ? 0 : share;
+      in_service_ += s.health.ejected ? 0 : std::sqrt(share);
     }
   }
 
@@ -1059,7 +1074,7 @@
   OutlierDetector::Fleet fleet_;
   double warm_rate_ = 0;                // work a ms that a warm server serves for this proxy
   double served_by_ = 0;                // servers in service, averaged as the work served is
-  double listed_ = 0, in_service_ = 0;  // servers ready and of these not ejected; a cold one as its share
+  double listed_ = 0, in_service_ = 0;  // see CountCapacity
   TimePoint next_return_ = kNever;
   bool some_cold_ = false;
   int list_ = 0, built_ = 0;  // of the complete lists; of the subsets
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -738,6 +738,39 @@
   EXPECT_LT(sent, 50);
 }
 
+// A client refused by one of a hundred proxies comes back to another, which cannot know it. Refused by
+// chance, half of what a fleet short of capacity served were such repeats, too late (zone+vast, join+vast).
+TEST(Admission, ProxiesOfAManyRefuseTheSameWishes) {
+  const auto admitted = [](std::uint64_t seed, int me) {
+    Settings settings = Usual();
+    settings.balancers = 100;
+    settings.me = me;
+    Rig rig(settings, seed);
+    rig.Servers(60);
+    for (int i = 0; i < 60; ++i) {
+      const RequestId id = next_id++;
+      const auto s = rig.Ask(id, 2, 10, 5000);
+      if (s) rig.End(id, 0, *s, Outcome::kOk, 250);  // of an aim of 200
+      rig.Tick(50);
+    }
+    std::vector<bool> verdicts;
+    for (int wish = 0; wish < 200; ++wish) {
+      const RequestId id = next_id++;
+      const auto s = rig.Ask(id, 2, 10 + 0.01 * wish, 5000, 1000 + wish);
+      verdicts.push_back(s.has_value());
+      if (s) rig.End(id, 0, *s, Outcome::kOk, 130);
+      rig.Tick(50);
+    }
+    return verdicts;
+  };
+  const auto one = admitted(1, 1), other = admitted(2, 42);
+  int refused = 0, differ = 0;
+  for (std::size_t i = 0; i < one.size(); ++i) refused += !one[i], differ += one[i] != other[i];
+  EXPECT_GT(refused, 60);
+  EXPECT_LT(refused, 190);
+  EXPECT_LT(differ, 30) << "by chance it would be 80 or more";
+}
+
 TEST(Subset, ABusyProxyUsesAllServers) {
   Settings settings = Usual();
   settings.balancers = 400;
@@ -858,6 +891,35 @@
   EXPECT_GT(run(100), 70) << "after five seconds in which nothing was answered";
 }
 
+// join+vast: while most servers are cold, what all serve is no measure of what the few warm ones could do.
+TEST(ColdStart, AMostlyColdFleetIsNoReasonToSendAColdServerMore) {
+  Settings settings = Usual();
+  settings.warm_up = Duration(60000);
+  settings.cold_from = 0.1;
+  Rig rig(settings);
+  std::vector<ServerEntry> list;
+  for (ServerId id = 1; id <= 8; ++id) list.push_back(Entry(id));
+  rig.List(list);
+  const auto run = [&](int n) {
+    int to_first = 0;
+    for (int i = 0; i < n; ++i) {
+      rig.Tick(5);
+      const RequestId id = next_id++;
+      const auto s = rig.Ask(id, 2, 10, 400);
+      if (!s) continue;
+      to_first += *s == 1;
+      rig.End(id, 0, *s, Outcome::kOk, 12);
+    }
+    return to_first;
+  };
+  run(2000);  // 2 ms of work a ms: 0.25 by each
+  for (ServerId id = 1; id <= 7; ++id) list[id - 1] = Entry(id, 0, 0, ServerState::kReady, rig.now);
+  rig.List(list);
+  run(1600);  // eight seconds, in which the rates of late forget what was
+  // At 0.22 of its capacity and three times that at the most: 10 ms each, over two seconds.
+  EXPECT_LE(run(400), 0.6 * 3 * 0.24 * 0.25 * 2000 / 10 * 2);
+}
+
 TEST(ColdStart, RejectedWorkCountsToo) {
   Rig rig;
   rig.List({Entry(1, 0, 0, ServerState::kReady, 99999)});
