Many proxies take a key to the same few servers, where it is warm

Change: where sixteen proxies or more share the traffic and keys are warm, a pick counts the four best servers of its subset by rendezvous hashing as warm for the key; all proxies agree on the order without a word.

--- a/src/decision/balance.cpp
+++ b/src/decision/balance.cpp
@@ -6,6 +6,7 @@
 // pick of the one with the least hinted work of this proxy's own in flight. Whatever departs from that is
 // marked "Exception" with the condition under which it acts. What overload is measured by is in src/overload.
 #include <algorithm>
+#include <array>
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <cmath>
 #include <deque>
@@ -79,6 +80,7 @@
 constexpr int kFirmVotes = 10;             // below, nothing is made of it: clients may differ widely
 constexpr int kMostVotes = 50;             // for the usual time of a try
 constexpr double kWarmWeight = 2;          // of a request's work, at a server that met its key lately
+constexpr int kHomes = 4;                  // servers that all of many proxies take a key to
 constexpr Duration kKeyMemory{4000};       // how long a key sent to a server is taken to be warm there
 constexpr std::size_t kMostRanked = 64;    // servers that a pick ranks whole; of more it draws a sample
 constexpr int kSample = 12;                // at random, and the last few that were chosen: a fast one is
@@ -262,6 +264,11 @@
     int rank = 0, ties = 0;
     double score = 0;
     double crossing = 0;  // work that a crossing counts as, for this pick
+    std::array<std::pair<std::uint32_t, ServerIndex>, kHomes> homes{};  // of the key, the best first
+    bool Home(ServerIndex i) const {
+      return std::any_of(homes.begin(), homes.end(),
+                         [i](const auto& home) { return home.first != 0 && home.second == i; });
+    }
     bool in_service = false;
   };
 
@@ -275,6 +282,8 @@
     choice.in_service = *in_service;
     if (settings_.price_cross_zone > 0 && random_.Unit() < home_first_)
       choice.crossing = kCrossingWeight * settings_.price_cross_zone * request_work_.mean;
+    if (settings_.warm_keys && r.key != 0 && settings_.balancers >= kMany && from.size() <= kMostRanked)
+      FindHomes(from, r.key, &choice);
     if (from.size() > kMostRanked) {
       const auto look = [&](ServerIndex i) {
         if (&from == &ring_ || servers_[i].in_subset == built_) Consider(i, r, permission, &choice);
@@ -296,6 +305,22 @@
     return choice.best && choice.rank >= 2 && choice.in_service ? nullptr : choice.best;
   }
 
+  // Exception, where many proxies share the traffic and keys are warm where they were met: each sees a key
+  // too seldom to know where it is warm, and a hundred of them took it to sixty servers in turn, afresh to
+  // each. So all prefer the same few for it, by rendezvous hashing (Thaler and Ravishankar 1998): when one
+  // leaves or comes, only its own keys move. Few enough to be warm, enough that a popular key crowds none.
+  void FindHomes(const std::vector<ServerIndex>& from, std::uint64_t key, Choice* choice) const {
+    for (const ServerIndex i : from) {
+      const Server& s = servers_[i];
+      std::pair<std::uint32_t, ServerIndex> home(
+          MixBits(static_cast<std::uint32_t>(key) ^ MixBits(s.entry.server)), i);
+      if (!Usable(s) || s.health.ejected) continue;
+      for (auto& better : choice->homes) {
+        if (home.first > better.first) std::swap(home, better);
+      }
+    }
+  }
+
   // Soon to be considered: the memory of several is waited for once.
   void Fetch(ServerIndex i) const {
     const char* at = reinterpret_cast<const char*>(&servers_[i]);
@@ -314,9 +339,11 @@
       return;
     }
     const int rank = 2 * s.health.ejected + Tried(r, s);
-    const double score = s.own_work + kSlownessWeight * r.work * (SlownessOf(s) - 1) -
-                         (r.key != 0 && key_memory_.Warm(r.key, index, now_) ? kWarmWeight * r.work : 0) +
-                         (s.entry.zone != settings_.zone ? choice->crossing : 0);
+    const double score =
+        s.own_work + kSlownessWeight * r.work * (SlownessOf(s) - 1) -
+        (r.key != 0 && (choice->Home(index) || key_memory_.Warm(r.key, index, now_)) ? kWarmWeight * r.work
+                                                                                     : 0) +
+        (s.entry.zone != settings_.zone ? choice->crossing : 0);
     if (choice->best && (rank > choice->rank || (rank == choice->rank && score > choice->score))) return;
     const bool tie = choice->best && rank == choice->rank && score == choice->score;
     choice->ties = tie ? choice->ties + 1 : 1;
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -335,6 +335,38 @@
   EXPECT_EQ(seen.size(), 4u);
 }
 
+// A hundred proxies took a key to sixty servers in turn, and each did its work afresh.
+TEST(WarmKeys, ManyProxiesTakeAKeyToTheSameFewServers) {
+  Settings settings = Usual();
+  settings.balancers = 20;
+  settings.warm_keys = true;
+  std::map<std::uint64_t, std::set<ServerId>> used[2];  // by key; in the second round server 3 is gone
+  for (int me = 0; me < 20; ++me) {
+    settings.me = me;
+    Rig rig(settings, static_cast<std::uint64_t>(me + 1));
+    rig.Servers(8);  // all of them in each proxy's subset
+    for (const int round : {0, 1}) {
+      if (round == 1) rig.List({Entry(3, 0, 0, ServerState::kGone)}, ListKind::kDelta);
+      for (std::uint64_t key = 1; key <= 12; ++key) {
+        rig.Tick(5000);  // what a proxy itself remembers of keys is over
+        const RequestId id = next_id++;
+        const auto s = rig.Ask(id, 2, 10, 400, key);
+        ASSERT_TRUE(s.has_value());
+        used[round][key].insert(*s);
+        rig.End(id, 0, *s, Outcome::kOk);
+      }
+    }
+  }
+  std::set<ServerId> all;
+  for (const auto& [key, servers] : used[0]) {
+    EXPECT_LE(servers.size(), 4u) << key;
+    all.insert(servers.begin(), servers.end());
+    for (const ServerId s : servers) EXPECT_TRUE(s == 3 || used[1][key].contains(s)) << "moved without need";
+    EXPECT_LE(used[1][key].size(), 4u) << key;
+  }
+  EXPECT_EQ(all.size(), 8u) << "keys are spread over all servers";
+}
+
 // A slow server that answers within its time-out is never ejected; idle, it looked as good as any other.
 TEST(Pick, AServerThatAnswersSlowerCountsAsBusier) {
   Rig rig;
