One place tells how a request ended: Conclude, where each final answer passes

Cause: the line request_ended was written beside the calls of Conclude, and left out where the proxy itself ends a request: over a limit of its own, with half of a large body gone, or on what a backend says of the request. So it was not one line for each.

Change: Conclude writes it, and Ended goes. No decision changes.

--- a/src/decision/balance.cpp
+++ b/src/decision/balance.cpp
@@ -312,9 +312,9 @@
   void FindHomes(const std::vector<ServerIndex>& from, std::uint64_t key, Choice* choice) const {
     for (const ServerIndex i : from) {
       const Server& s = servers_[i];
+      if (!Usable(s) || s.health.ejected) continue;
       std::pair<std::uint32_t, ServerIndex> home(
           MixBits(static_cast<std::uint32_t>(key) ^ MixBits(s.entry.server)), i);
-      if (!Usable(s) || s.health.ejected) continue;
       for (auto& better : choice->homes) {
         if (home.first > better.first) std::swap(home, better);
       }
@@ -456,9 +456,9 @@
   // are too few to tell. A young proxy goes by what it is asked for: it has no answers yet. What was seen
   // once holds for a while: in a rolling deploy that leaves no warm server, a budget of what is served now
   // starved itself. What was served of late was served by those in service then: after a loss of most, the
-  // few left can't do the work of all. A cold one counts as the root of its share
-  // among them: by its least share, a fleet half of which was cold took its warm servers for three times as
-  // able as they were (join+vast, in the laboratory), and counted whole, an all cold one starved itself.
+  // few left can't do the work of all. A cold one counts as the root of its share among them: by its least
+  // share, a fleet half of which was cold took its warm servers for three times as able as they were
+  // (join+vast, in the laboratory), and counted whole, an all cold one starved itself.
   void LearnWarmRate(Duration elapsed) {
     if (in_service_ <= 0) return;
     const double now_rate = (outcomes_ < kYoung ? std::max(work_rate_, asked_rate_) : work_rate_) /
@@ -763,10 +763,9 @@
     ++counts_.arrived;
     counts_.repeats += r.wish.tries > 1 || e.client_retry;
     const Duration aim = c.aim - std::max(Elapsed(e), now_ - r.wish.since);
-    const bool hinted = e.has_hint && std::isfinite(e.work_ms) && e.work_ms > 0;
-    r.hinted = hinted;
-    r.work = hinted ? std::min(e.work_ms, kMostWork) : request_work_.samples > 0 ? request_work_.mean : 1;
-    if (hinted || request_work_.samples == 0) {
+    r.hinted = e.has_hint && std::isfinite(e.work_ms) && e.work_ms > 0;
+    r.work = r.hinted ? std::min(e.work_ms, kMostWork) : request_work_.samples > 0 ? request_work_.mean : 1;
+    if (r.hinted || request_work_.samples == 0) {
       request_work_.Add(r.work);
       classes_[r.cls].work.Add(r.work);
     }
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -385,24 +385,8 @@
   return id;
 }
 
-// One line for each request, for who counts across a fleet.
-void Proxy::Ended(RequestId request, const char* how, const char* why) const {
-  if (!log::Global().Enabled(log::Level::kDebug)) return;
-  const auto found = pending_.find(request);
-  if (found == pending_.end() || !found->second.responder) return;
-  const Pending& of = found->second;
-  log::Global().Debug("request_ended", {{"request", request},
-                                        {"class", of.request_class},
-                                        {"how", how},
-                                        {"why", why},
-                                        {"attempts", of.attempts},
-                                        {"after_ms", Duration(Steady::now() - of.arrived).count()},
-                                        {"allowed_ms", Duration(of.due - of.arrived).count()}});
-}
-
 void Proxy::OnClientGone(RequestId request) {
-  Ended(request, "client_gone");
-  if (!Conclude(request)) return;
+  if (!Conclude(request, "client_gone")) return;
   ForgetIfOver(request);
   Feed(ClientGone{request});
 }
@@ -450,15 +434,14 @@
                                         {"took_ms", end.took.count()}});
   if (found != pending_.end()) found->second.attempt_out = false;
   if (result.outcome == Outcome::kOk) {
-    Ended(request, "served");
-    if (const auto responder = Conclude(request)) {
+    if (const auto responder = Conclude(request, "served")) {
       responder->Served(std::move(result.response), std::move(result.rest), result.length);
     }
   } else if (result.outcome == Outcome::kUnknown) {
-    if (const auto responder = Conclude(request)) responder->Rejected(result.response.result());
+    if (const auto responder = Conclude(request, "rejected")) responder->Rejected(result.response.result());
   } else if (result.local) {
     // Over a limit of this process: no backend is to blame, and another attempt would fare no better.
-    if (const auto responder = Conclude(request)) {
+    if (const auto responder = Conclude(request, attempt == 0 ? "refused" : "failed", "own_limit")) {
       if (attempt == 0) {
         responder->Refused(config_.shares.refusal);
       } else {
@@ -468,7 +451,7 @@
   } else if (found != pending_.end() && found->second.upload && found->second.upload->consumed) {
     // Some of the body has left for good: there is no other attempt.
     const bool ran = result.outcome != Outcome::kConnectFailed && result.outcome != Outcome::kFull;
-    if (const auto responder = Conclude(request))
+    if (const auto responder = Conclude(request, ran ? "failed" : "refused", "body_has_left"))
       ran ? responder->Failed() : responder->Refused(config_.shares.refusal);
   }
   end.settled = found == pending_.end() || !found->second.responder;
@@ -476,12 +459,21 @@
   Feed(end);
 }
 
-// Ends the request: whoever gets the responder gives the one final answer.
-std::shared_ptr<Responder> Proxy::Conclude(RequestId request) {
+// Ends the request: whoever gets the responder gives the one final answer. One line each, for who counts
+// across a fleet.
+std::shared_ptr<Responder> Proxy::Conclude(RequestId request, const char* how, const char* why) {
   const auto found = pending_.find(request);
-  if (found == pending_.end()) return nullptr;
-  found->second.upload.reset();
-  return std::exchange(found->second.responder, nullptr);
+  if (found == pending_.end() || !found->second.responder) return nullptr;
+  Pending& of = found->second;
+  log::Global().Debug("request_ended", {{"request", request},
+                                        {"class", of.request_class},
+                                        {"how", how},
+                                        {"why", why},
+                                        {"attempts", of.attempts},
+                                        {"after_ms", Duration(Steady::now() - of.arrived).count()},
+                                        {"allowed_ms", Duration(of.due - of.arrived).count()}});
+  of.upload.reset();
+  return std::exchange(of.responder, nullptr);
 }
 
 void Proxy::ForgetIfOver(RequestId request) {
@@ -492,14 +484,13 @@
 }
 
 void Proxy::Do(const Refuse& action) {
-  Ended(action.request, "refused", action.why);
-  if (const auto responder = Conclude(action.request)) responder->Refused(action.retry_after);
+  if (const auto responder = Conclude(action.request, "refused", action.why))
+    responder->Refused(action.retry_after);
   ForgetIfOver(action.request);
 }
 
 void Proxy::Do(const Fail& action) {
-  Ended(action.request, "failed", action.why);
-  if (const auto responder = Conclude(action.request)) responder->Failed();
+  if (const auto responder = Conclude(action.request, "failed", action.why)) responder->Failed();
   ForgetIfOver(action.request);
 }
 
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -103,9 +103,8 @@
 
   void OnAttemptDone(RequestId request, int attempt, ServerId server, Steady::time_point sent,
                      AttemptResult result);
-  std::shared_ptr<Responder> Conclude(RequestId request);
+  std::shared_ptr<Responder> Conclude(RequestId request, const char* how, const char* why = "");
   void ForgetIfOver(RequestId request);
-  void Ended(RequestId request, const char* how, const char* why = "") const;
   void ArmTimer();
 
   boost::asio::io_context& io_;
