Silence is pooled by zone, and a cold server gets its share from those who use it

Cause: FitsColdBudget gave each proxy the share of one of all proxies, though only those whose subset holds a server send to it (8 of 158). Kinds were told apart by how long answers take, which the least-work pick evens out. Outlier detection learns a zone server by server, at a connect time-out each. Learn counted the time-outs of silent connections into of_aim_ as if they were a queue, and NoPlace so too while nobody answered. Elapsed took clients that wait 122 ms and come again at once (8,400 tries in two seconds) for ones at their last try.

Change: HeardOf and SilenceOf take a zone out after three attempts in a row that it left unanswered, at several servers, while others answered, for two seconds or until its first answer; time-outs of a silent zone are no sign of a crowd. A cold server's budget counts the part of the fleet that a subset is, up to its share, by what its kind serves; servers outside of the subset get nothing while cold. Usual times of tries may be several. When discovery is asked (src/decision/asking.h) and the order of servers (ring.h) go out of balance.cpp, which decides neither.

Eight new tests; each of these fixes taken out fails one.

--- /dev/null
+++ b/src/decision/asking.h
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// When discovery is asked for the list, where it must be asked: at once in a new life, again with a jittered
+// backoff after a failure, and again if no answer comes. No clock, no I/O; which server gets what is not
+// decided here.
+#ifndef COPPERPOINT_DECISION_ASKING_H_
+#define COPPERPOINT_DECISION_ASKING_H_
+
+#include <algorithm>
+
+#include "copperpoint/balancer.h"
+#include "decision/measures.h"
+
+namespace copperpoint {
+
+inline constexpr TimePoint kNever{Duration(1e300)};
+
+class Asking {
+ public:
+  // `within`: the rules want a call at least this often.
+  explicit Asking(Duration within) : within_(within) {}
+
+  // What came of the last call, or of a watch; kCached is the list that a new life starts with.
+  void Heard(ListKind kind, TimePoint now, Random& random) {
+    if (kind == ListKind::kCached) {
+      at_ = now;
+    } else if (kind == ListKind::kFailed) {
+      // From a twentieth to a quarter of the time within which the rules want a call.
+      backoff_ = std::min(within_ / 4, std::max(within_ / 20, backoff_ * 2));
+      at_ = now + backoff_ * (0.5 + 0.5 * random.Unit());
+    } else {
+      backoff_ = Duration(0);
+      at_ = kNever;
+    }
+  }
+
+  // True once when it is time to ask.
+  bool Due(TimePoint now) {
+    if (now < at_) return false;
+    at_ = now + within_ / 2;  // an answer may never come
+    return true;
+  }
+
+  TimePoint at() const { return at_; }
+
+ private:
+  Duration within_, backoff_{0};
+  TimePoint at_ = kNever;
+};
+
+}  // namespace copperpoint
+
+#endif  // COPPERPOINT_DECISION_ASKING_H_
--- a/src/decision/balance.cpp
+++ b/src/decision/balance.cpp
@@ -14,7 +14,9 @@
 #include <utility>
 
 #include "copperpoint/balancer.h"
+#include "decision/asking.h"
 #include "decision/measures.h"
+#include "decision/ring.h"
 #include "overload/priority.h"
 #include "overload/state.h"
 
@@ -30,6 +32,7 @@
 constexpr Duration kLongestInterval{10000};  // A50's own; where traffic is thin counts have to be kept longer
 constexpr double kByChance = 0.01;      // thin traffic: failures that come together less often are no chance
 constexpr double kPriorFailures = 0.1;  // seen elsewhere before anything is
+constexpr int kZoneVotes = 3;           // attempts in a row that a zone leaves unanswered: as kRequestVolume
 constexpr int kMinimumHosts = 2;        // servers to compare with each other
 constexpr double kThreshold = 0.4;      // failure share; well over what noise and overlap produce
 constexpr double kMaxEjectionPercent = 50;  // the rest must be able to carry the load
@@ -71,14 +74,12 @@
 constexpr double kLeastPerServer = 3;      // in flight at a server, of all proxies, that are always in order
 constexpr double kStretchGain = 0.01;      // of a slower answer; a faster one counts ten times as much
 constexpr double kSlownessGain = 0.08;     // of one answer
-constexpr double kKindGain = 0.04;         // of one answer, in how slow its kind of server is
 constexpr double kMostSlowness = 8;        // one answer counts as no slower than this
 constexpr Duration kSlownessMemory{4000};  // what is not confirmed is forgotten
 constexpr double kSlownessWeight = 1;      // of the time lost at a slow server, against work in flight
 constexpr double kSameTime = 0.04;         // part by which times of tries may differ and still be the same
 constexpr int kLeastVotes = 4;             // answers of large requests; one slow one says little
 constexpr int kFirmVotes = 10;             // below, nothing is made of it: clients may differ widely
-constexpr int kMostVotes = 50;             // for the usual time of a try
 constexpr double kWarmWeight = 2;          // of a request's work, at a server that met its key lately
 constexpr int kHomes = 4;                  // servers that all of many proxies take a key to
 constexpr Duration kKeyMemory{4000};       // how long a key sent to a server is taken to be warm there
@@ -92,8 +93,6 @@
 constexpr Duration kLongLogGap{10000};     // others
 constexpr Duration kForgetAfter{600000};   // a server gone for this long loses its state
 
-constexpr TimePoint kNever{Duration(1e300)};
-
 // ---- 2. Outlier detection -----------------------------------------------------------------------------
 // gRFC A50, failure percentage, evaluated at each answer as DESIGN states it.
 class OutlierDetector {
@@ -175,6 +174,7 @@
   int in_subset = 0;  // the last subset that held it
   int in_list = 0;    // the last complete list that named it
   int own_count = 0;
+  bool cut_off = false;  // with all of its zone
   SentWindow sent;
   TimePoint turn_since{};  // cold: the last send to it, or its start as told
   double turn_phase = 1;   // part of the time between sends that has to pass
@@ -182,6 +182,12 @@
   TimePoint gone_since{};
 };
 
+// A cut or a lost zone takes all of its servers at once.
+struct Zone {
+  Run unanswered;
+  TimePoint last_answer{}, silent_since{}, out_until{};
+};
+
 // What may be done with a request now.
 struct Permission {
   bool dispatch = false;
@@ -194,7 +200,10 @@
 class Balancer::Impl {
  public:
   Impl(Settings settings, std::uint64_t seed)
-      : settings_(std::move(settings)), random_(seed), priority_(settings_) {
+      : settings_(std::move(settings)),
+        random_(seed),
+        priority_(settings_),
+        asking_(settings_.must_ask_within) {
     classes_.resize(settings_.classes.size());
     tenant_tokens_.resize(settings_.tenants.size(), 1);
   }
@@ -254,7 +263,7 @@
     bool in_service = false;  // some server is in service, though without room now
     Server* best = permission.group_of ? nullptr : PickFrom(subset_, r, permission, &in_service);
     if (!best && (permission.group_of || subset_.size() < ring_.size()))
-      best = PickFrom(ring_, r, permission, &in_service);
+      best = PickFrom(ring_.order(), r, permission, &in_service);
     return best;
   }
 
@@ -286,7 +295,7 @@
       FindHomes(from, r.key, &choice);
     if (from.size() > kMostRanked) {
       const auto look = [&](ServerIndex i) {
-        if (&from == &ring_ || servers_[i].in_subset == built_) Consider(i, r, permission, &choice);
+        if (&from == &ring_.order() || servers_[i].in_subset == built_) Consider(i, r, permission, &choice);
       };
       ServerIndex sample[kSample];
       for (ServerIndex& i : sample) Fetch(i = from[random_.Below(from.size())]);
@@ -312,7 +321,7 @@
   void FindHomes(const std::vector<ServerIndex>& from, std::uint64_t key, Choice* choice) const {
     for (const ServerIndex i : from) {
       const Server& s = servers_[i];
-      if (!Usable(s) || s.health.ejected) continue;
+      if (!Usable(s) || Out(s)) continue;
       std::pair<std::uint32_t, ServerIndex> home(
           MixBits(static_cast<std::uint32_t>(key) ^ MixBits(s.entry.server)), i);
       for (auto& better : choice->homes) {
@@ -331,14 +340,14 @@
   void Consider(ServerIndex index, const Request& r, const Permission& permission, Choice* choice) {
     Server& s = servers_[index];
     if (!Usable(s) || (permission.group_of && !InGroup(r, *permission.group_of, s))) return;
-    choice->in_service |= !s.health.ejected;
+    choice->in_service |= !Out(s);
     if (!FitsColdBudget(s, r.work)) {
       if (MayLog(kCold))
         LogLine("server " + std::to_string(s.entry.server) + " held back: cold, at " +
                 std::to_string(static_cast<int>(100 * WarmShare(s))) + "% or more of its capacity");
       return;
     }
-    const int rank = 2 * s.health.ejected + Tried(r, s);
+    const int rank = 2 * Out(s) + Tried(r, s);
     const double score =
         s.own_work + kSlownessWeight * r.work * (SlownessOf(s) - 1) -
         (r.key != 0 && (choice->Home(index) || key_memory_.Warm(r.key, index, now_)) ? kWarmWeight * r.work
@@ -360,13 +369,13 @@
   // this, every proxy held a connection to every server, and hundreds of proxies exhausted what servers
   // accept (incident i0f08a6).
   void BuildSubset() {
-    std::erase_if(ring_, [this](ServerIndex i) { return !Usable(servers_[i]); });
+    ring_.LeaveIf([this](ServerIndex i) { return !Usable(servers_[i]); });
     const std::vector<ServerIndex> before = std::exchange(subset_, {});
     const double shared = kMostSharers * static_cast<double>(ring_.size()) / settings_.balancers;
     const std::size_t size =
         std::max(judged_, static_cast<std::size_t>(std::clamp<double>(shared, kFewest, kLeastSubset)));
     std::vector<ServerIndex> home, away;
-    for (const ServerIndex i : ring_) {
+    for (const ServerIndex i : ring_.order()) {
       const bool near =
           settings_.price_cross_zone > kWorthStaying && servers_[i].entry.zone == settings_.zone;
       (near ? home : away).push_back(i);
@@ -388,10 +397,36 @@
     for (std::size_t k = 0; k < ring.size() && in_service < size; ++k) {
       const ServerIndex i = ring[(static_cast<std::size_t>(start) + k) % ring.size()];
       subset_.push_back(i);
-      in_service += !servers_[i].health.ejected;
+      in_service += !Out(servers_[i]);
     }
   }
 
+  bool Out(const Server& s) const { return s.health.ejected || s.cut_off; }
+
+  // Exception, zones that fall silent whole: of a cut or a lost zone each proxy had to learn server by
+  // server, at a connect time-out or a client's deadline each, and forgot it again one by one (split+mass:
+  // 500 to 800 failed connections a second for all six of them). What one server leaves unanswered says
+  // something of its zone: kZoneVotes in a row, of several servers, with no answer of any other of it, take
+  // the zone out as an ejection does, while other zones answer. Any answer brings it back.
+  void HeardOf(const Server& s) {
+    Zone& zone = zones_[s.entry.zone];
+    zone.last_answer = heard_ = now_;
+    zone.unanswered.End();
+    if (zone.out_until > now_) zone.out_until = next_return_ = now_;
+  }
+
+  void SilenceOf(const Server& s) {
+    Zone& zone = zones_[s.entry.zone];
+    if (zone.unanswered.empty()) zone.silent_since = now_;
+    const bool others_answer = heard_ > zone.silent_since;
+    if (zone.unanswered.Add(IndexOf(s)) < kZoneVotes || zone.out_until > now_ || !others_answer) return;
+    zone.out_until = now_ + kBaseEjectionTime * (0.75 + 0.5 * random_.Unit());
+    next_return_ = std::min(next_return_, zone.out_until);
+    for (Server& other : servers_) other.cut_off |= other.entry.zone == s.entry.zone;
+    if (MayLog(kHealth)) LogLine("zone " + std::to_string(s.entry.zone) + " out of service: it is silent");
+    FleetChanged();
+  }
+
   void ResizeSubset() {
     const double per_s = asked_rate_ * 1000 / std::max(1e-9, request_work_.mean);
     const double volume_s = kRequestVolume * static_cast<double>(subset_.size()) / std::max(per_s, 1e-9);
@@ -439,19 +474,22 @@
     const Duration window = settings_.overload_for * kWindowSlack;
     const double sent = s.sent.Within(now_, window);
     // The pooled rate is that of a mean server. One of a slow kind can do less; a fast one gets no more.
-    const double rate = kColdCaution * settings_.fall_multiple * share * warm_rate_ /
-                        std::max(1.0, KindSlowness(s.entry.kind));
+    // Where proxies keep to subsets, only some of them send to it, and each has so much the more to give:
+    // with the share of one of all proxies, cold servers stood idle (24 ms an answer where warm ones took 90,
+    // at a quarter of their requests: join+mass) while the rest fell behind. Those who don't hold it send
+    // nothing.
+    if (s.in_subset != built_) return false;
+    const double of_subset = static_cast<double>(ring_.size()) / static_cast<double>(subset_.size());
+    const double multiple = kColdCaution * settings_.fall_multiple;
+    const double rate = (of_subset > 1 ? std::min(1.0, multiple) * of_subset : multiple) * share *
+                        warm_rate_ * std::min(1.0, kinds_.Of(s.entry.kind, kYoung * request_work_.mean));
     if (sent + work <= rate * settings_.overload_for.count()) return true;
-    const double least = settings_.fall_multiple * settings_.cold_from * kColdLeast / settings_.balancers;
+    const double least =
+        settings_.fall_multiple * settings_.cold_from * kColdLeast * of_subset / settings_.balancers;
     const double paid = std::max(rate, least);
     return paid > 0 && now_ - s.turn_since >= s.turn_phase * std::max(window, Duration(work / paid));
   }
 
-  double KindSlowness(int kind) const {
-    const auto found = kind_slowness_.find(kind);
-    return found == kind_slowness_.end() ? 1 : found->second;
-  }
-
   // Work a ms that a warm server serves for this proxy. Pooled over the fleet, as one server's own answers
   // are too few to tell. A young proxy goes by what it is asked for: it has no answers yet. What was seen
   // once holds for a while: in a rolling deploy that leaves no warm server, a budget of what is served now
@@ -514,7 +552,7 @@
   }
 
   void NoPlace(Request& r) {
-    of_aim_ += kAimGain * (kNoPlace - of_aim_);
+    if (heard_ > r.arrived) of_aim_ += kAimGain * (kNoPlace - of_aim_);
     Finish(r, "no_place", StayAway(r));
   }
 
@@ -611,7 +649,10 @@
     outcomes_ = std::min(kYoung, outcomes_ + 1);
     last_answer_ = now_;
     counts_.answered += ok;
+    if (ok || e.outcome == Outcome::kError || e.outcome == Outcome::kFull) HeardOf(s);
+    if (e.outcome == Outcome::kConnectFailed) SilenceOf(s);
     if (ok) served_work_ += r.work, ++answered_;
+    if (ok && WarmShare(s) >= 1) kinds_.Served(s.entry.kind, r.work);
     if (ok && now_ <= r.wish.since + settings_.classes[r.cls].aim)
       priority_.InTime(r.cls, r.tenant, r.work, r.wish.within_share);
     const double took = e.took.count();
@@ -624,12 +665,12 @@
       s.slowness = SlownessOf(s);
       s.slowness += kSlownessGain * (relative - s.slowness);
       s.slowness_at = now_;
-      if (WarmShare(s) >= 1) {
-        double& of_kind = kind_slowness_.try_emplace(s.entry.kind, 1).first->second;
-        of_kind += kKindGain * (relative - of_kind);
-      }
     }
-    if (timed && stretch_ > 0 && took > 0) {
+    // A time-out where a whole zone has answered nothing since tells of no queue: counted as one, those of a
+    // cut had the proxies behind it refuse all that came, for seconds after they knew where to send it.
+    const bool silent =
+        e.outcome == Outcome::kTimeout && zones_[s.entry.zone].last_answer < r.attempts[e.attempt].sent_at;
+    if (timed && !silent && stretch_ > 0 && took > 0) {
       const double usual = std::min(stretch_ * std::max(r.work, request_work_.mean / 2),
                                     0.5 * settings_.classes[r.cls].aim.count());
       crowding_ += kCrowdingGain * (std::min(took / usual, kMostCrowding) - crowding_);
@@ -687,6 +728,7 @@
       for (Attempt& a : r.attempts) {
         if (!a.outstanding || a.overdue || now_ - a.sent_at < unlikely) continue;
         a.overdue = true;
+        if (zones_[servers_[a.server].entry.zone].last_answer < a.sent_at) SilenceOf(servers_[a.server]);
         ++overdue_;
         room_ = true;
       }
@@ -727,19 +769,14 @@
   }
 
   // Exception: what has passed of a client's deadline has passed of its aim. A client's last try has what is
-  // left of its deadline, all others of a class have the same time: the usual one, found by vote.
+  // left of its deadline, all others have one of a few usual times, found by vote: some clients are more
+  // patient than others.
   Duration Elapsed(const Submit& e) {
     const ClassSettings& c = settings_.classes[e.request_class];
-    UsualTime& usual = classes_[e.request_class].usual_time;
+    UsualTimes& usual = classes_[e.request_class].usual_times;
     const Duration left = e.due - now_;
-    const bool as_usual = std::abs((left - usual.time).count()) <= kSameTime * usual.time.count();
-    if (as_usual) {
-      usual.votes = std::min(kMostVotes, usual.votes + 1);
-    } else if (!e.client_retry && --usual.votes < 0) {
-      usual.time = left;
-      usual.votes = 0;
-    }
-    if (usual.votes < kFirmVotes) return Duration(0);
+    const bool as_usual = usual.Vote(left, kSameTime) >= kFirmVotes;
+    if (usual.most() < kFirmVotes) return Duration(0);
     const Duration at_most = std::max(Duration(0), c.deadline - left);
     return !as_usual ? at_most : e.client_retry ? at_most * 0.5 : Duration(0);
   }
@@ -858,7 +895,7 @@
 
   // ---- 7. Discovery -----------------------------------------------------------------------------------
   void On(const ListUpdate& e) {
-    if (settings_.must_ask_for_list) FollowUp(e.kind);
+    if (settings_.must_ask_for_list) asking_.Heard(e.kind, now_, random_);
     if (e.kind == ListKind::kFailed) return;
     if (e.kind != ListKind::kDelta) {
       ++list_;
@@ -877,38 +914,23 @@
       const ServerState before = s.entry.state;
       const bool started = added || entry.up_since != s.entry.up_since;
       s.entry = entry;
+      s.cut_off = zones_[entry.zone].out_until > now_;
       s.entry.state = before;
       SetState(s, entry.state);
       if (!started || WarmShare(s) >= 1) continue;
       s.sent.Clear();
       s.turn_since = now_, s.turn_phase = random_.Unit();
     }
+    const auto id_of = [this](ServerIndex i) { return servers_[i].entry.server; };
     if (e.kind == ListKind::kDelta && e.entries.size() <= kMostRanked) {
-      for (const ServerEntry& entry : e.entries) JoinRing(index_[entry.server]);
+      for (const ServerEntry& entry : e.entries) ring_.Join(index_[entry.server], id_of);
     } else {
-      ring_.clear();
-      std::vector<std::pair<std::uint32_t, ServerIndex>> places;
-      places.reserve(servers_.size());
-      for (const Server& s : servers_) places.push_back(PlaceOf(IndexOf(s)));
-      std::sort(places.begin(), places.end());
-      for (const auto& [place, i] : places) ring_.push_back(i);
+      ring_.Build(servers_.size(), id_of);
     }
     FleetChanged();
     room_ = true;
   }
 
-  std::pair<std::uint32_t, ServerIndex> PlaceOf(ServerIndex i) const {
-    return {MixBits(servers_[i].entry.server), i};
-  }
-
-  // A change of one server must not sort the fleet anew.
-  void JoinRing(ServerIndex i) {
-    const auto place = std::lower_bound(ring_.begin(), ring_.end(), i, [this](ServerIndex a, ServerIndex b) {
-      return PlaceOf(a) < PlaceOf(b);
-    });
-    if (place == ring_.end() || *place != i) ring_.insert(place, i);
-  }
-
   // The place of a server gone so long that no request can remember it, or a new one.
   ServerIndex NewServer() {
     const auto stale = [this](const auto& gone) {
@@ -922,7 +944,7 @@
       place = gone_.front().second;
       gone_.pop_front();
       index_.erase(servers_[place].entry.server);
-      std::erase(ring_, place);
+      ring_.Leave(place);
       servers_[place] = Server();
     } else {
       servers_.emplace_back();
@@ -963,20 +985,6 @@
     BuildSubset();
   }
 
-  void FollowUp(ListKind kind) {
-    if (kind == ListKind::kCached) {
-      ask_at_ = now_;  // a new life: nothing is subscribed yet
-    } else if (kind == ListKind::kFailed) {
-      // Jittered backoff, from a twentieth to a quarter of the time within which the rules want a call.
-      ask_backoff_ =
-          std::min(settings_.must_ask_within / 4, std::max(settings_.must_ask_within / 20, ask_backoff_ * 2));
-      ask_at_ = now_ + ask_backoff_ * (0.5 + 0.5 * random_.Unit());
-    } else {
-      ask_backoff_ = Duration(0);
-      ask_at_ = kNever;
-    }
-  }
-
   // ---- Time -------------------------------------------------------------------------------------------
   void Advance() {
     if (now_ >= armed_) armed_ = kNever;
@@ -987,10 +995,7 @@
       for (Server& s : servers_) OutlierDetector::EndInterval(s.health);
     }
     if (now_ >= sample_at_) Sample();
-    if (now_ >= ask_at_) {
-      out_->push_back(Subscribe{});
-      ask_at_ = now_ + settings_.must_ask_within / 2;  // an answer may never come
-    }
+    if (asking_.Due(now_)) out_->push_back(Subscribe{});
     while (!wakeups_.empty() && wakeups_.begin()->first <= now_) {
       const auto found = requests_.find(wakeups_.begin()->second);
       wakeups_.erase(wakeups_.begin());
@@ -1022,9 +1027,12 @@
 
   void ReturnServers() {
     next_return_ = kNever;
+    room_ = true;
     for (Server& s : servers_) {
+      const TimePoint zone_returns = zones_[s.entry.zone].out_until;
+      s.cut_off = zone_returns > now_;
+      if (s.cut_off) next_return_ = std::min(next_return_, zone_returns);
       if (OutlierDetector::ReturnIfDue(s.health, now_)) {
-        room_ = true;
         fleet_.ejected -= Usable(s);
         fleet_.failures += s.health.failures;
         fleet_.attempts += s.health.attempts();
@@ -1054,6 +1062,10 @@
       served_by_ += std::min(1.0, slow_gain) * (in_service_ - served_by_);
       answered_ = served_work_ = asked_work_ = 0;
       LearnWarmRate(Duration(elapsed));
+      for (const ServerIndex i : subset_) {
+        if (!Out(servers_[i]) && WarmShare(servers_[i]) >= 1) kinds_.Stood(servers_[i].entry.kind, elapsed);
+      }
+      kinds_.Forget(Duration(elapsed));
       ResizeSubset();
       priority_.Forget(Duration(elapsed));
       JudgeOverload(Duration(elapsed));
@@ -1068,17 +1080,11 @@
   }
 
   void JudgeOverload(Duration elapsed) {
-    const overload::Pressure before = overload_.now();
-    const auto state = overload_.Judge(now_, elapsed, std::exchange(counts_, {}));
-    if (!state) return;
-    const auto percent = [](double share) { return std::to_string(std::lround(100 * share)); };
-    LogLine(std::string("overload: ") + NameOf(before) + " to " + NameOf(*state) + "; " +
-            percent(overload_.RefusedShare()) + "% of arrivals refused, " + percent(overload_.RepeatShare()) +
-            "% repeats");
+    if (overload_.Judge(now_, elapsed, std::exchange(counts_, {}))) LogLine(overload_.Describe());
   }
 
   void Arm() {
-    TimePoint at = std::min(ask_at_, held_.empty() ? kNever : sample_at_);
+    TimePoint at = std::min(asking_.at(), held_.empty() ? kNever : sample_at_);
     if (!wakeups_.empty()) at = std::min(at, wakeups_.begin()->first);
     if (at >= armed_) return;
     armed_ = at;
@@ -1111,11 +1117,13 @@
       gone_;                         // servers by when they went; stale entries are passed over
   std::vector<ServerIndex> chosen_;  // by the last picks on a large fleet
   std::size_t next_chosen_ = 0;
-  std::vector<ServerIndex> ring_, subset_;  // servers ready, by their place; those picked from
-  std::size_t judged_ = 0;                  // servers that this proxy's traffic can judge
+  Ring ring_;                        // servers ready
+  std::vector<ServerIndex> subset_;  // those picked from
+  std::size_t judged_ = 0;           // servers that this proxy's traffic can judge
   KeyMemory key_memory_{kKeyMemory};
   Requests requests_;
-  TimePoint last_answer_{};
+  TimePoint last_answer_{}, heard_{};
+  boost::unordered_flat_map<int, Zone> zones_;
   overload::Repeats repeats_;
   overload::Priority priority_;
   overload::State overload_;
@@ -1123,7 +1131,7 @@
   std::set<std::tuple<double, Duration, RequestId>> held_;
   std::set<std::pair<TimePoint, RequestId>> wakeups_;
   std::vector<ClassState> classes_;
-  boost::unordered_flat_map<int, double> kind_slowness_;  // of warm servers: time of answers over the like
+  KindShares kinds_{kWarmRateMemory};
   Spread request_work_, mean_aim_;
   double of_aim_ = 0;    // share of their aims that answers take
   double crowding_ = 3;  // time of answers over what they take uncrowded
@@ -1139,8 +1147,8 @@
   double home_first_ = 0.5;               // share of picks that count the price of crossing zones
   double lost_home_ = 0, lost_away_ = 0;  // share of worth lost at servers of the own zone and of others
   bool room_ = false;                     // something changed that may let a held request go
-  Duration ask_backoff_{0};
-  TimePoint armed_ = kNever, ask_at_ = kNever;
+  Asking asking_;
+  TimePoint armed_ = kNever;
   TimePoint interval_end_{}, sample_at_{}, sampled_at_{};
   TimePoint log_at_[kLogKinds] = {};
 };
--- a/src/decision/measures.h
+++ b/src/decision/measures.h
@@ -6,6 +6,7 @@
 #define COPPERPOINT_DECISION_MEASURES_H_
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdint>
 #include <deque>
@@ -139,16 +140,95 @@
   }
 };
 
-// How long clients usually give a try.
-struct UsualTime {
-  Duration time{0};
-  int votes = 0;
+// How long clients usually give a try: the times that come again and again, which may be several, as clients
+// differ in patience. One that is new takes the place of the one that has come least.
+class UsualTimes {
+ public:
+  // Counts `left`; how often it has come of late, give or take `same` of it.
+  int Vote(Duration left, double same) {
+    if (++votes_ % kHalved == 0) {
+      for (Slot& slot : slots_) slot.votes /= 2;
+    }
+    Slot* least = &slots_[0];
+    for (Slot& slot : slots_) {
+      if (slot.votes > 0 && std::abs((left - slot.time).count()) <= same * slot.time.count())
+        return ++slot.votes;
+      if (slot.votes < least->votes) least = &slot;
+    }
+    *least = {left, 1};
+    return 1;
+  }
+  int most() const {
+    int most = 0;
+    for (const Slot& slot : slots_) most = std::max(most, slot.votes);
+    return most;
+  }
+
+ private:
+  static constexpr int kHalved = 256;  // votes after which half is forgotten
+  struct Slot {
+    Duration time{0};
+    int votes = 0;
+  };
+  std::array<Slot, 8> slots_{};
+  int votes_ = 0;
+};
+
+// A run of events of one kind, each of a server; it counts only as one of several servers.
+class Run {
+ public:
+  // Its length with this one; 0 while all are of the same server.
+  int Add(ServerIndex server) {
+    several_ |= length_ > 0 && server != last_;
+    last_ = server;
+    ++length_;
+    return several_ ? length_ : 0;
+  }
+  void End() { length_ = 0, several_ = false; }
+  bool empty() const { return length_ == 0; }
+
+ private:
+  int length_ = 0;
+  ServerIndex last_ = 0;
+  bool several_ = false;
+};
+
+// What a server of a kind serves, over what a mean one does, from servers that have all of their capacity. By
+// work, not by how long answers take: a least-work pick gives slow machines less until their answers take
+// hardly longer.
+class KindShares {
+ public:
+  explicit KindShares(Duration memory) : memory_(memory) {}
+  void Served(int kind, double work) { kinds_[kind].served += work; }
+  void Stood(int kind, double ms) { kinds_[kind].stood += ms; }  // one server, ready to serve
+  void Forget(Duration elapsed) {
+    const double kept = std::exp(-elapsed / memory_);
+    all_ = {};
+    for (auto& [kind, of] : kinds_) {
+      of.served *= kept, of.stood *= kept;
+      all_.served += of.served, all_.stood += of.stood;
+    }
+  }
+  // `prior`: work for which it is taken to be the mean.
+  double Of(int kind, double prior) const {
+    const auto found = kinds_.find(kind);
+    if (found == kinds_.end() || all_.stood <= 0) return 1;
+    return (found->second.served + prior) / (found->second.stood * all_.served / all_.stood + prior);
+  }
+
+ private:
+  struct Kind {
+    double served = 0, stood = 0;
+  };
+  Duration memory_;
+  std::unordered_map<int, Kind> kinds_;
+  Kind all_;
 };
 
 // What this proxy has seen of a class.
 struct ClassState {
   Spread latency, work;  // time over WorkScale; hinted work
-  UsualTime usual_time;
+  UsualTimes usual_times;
 };
 
 }  // namespace copperpoint
--- a/src/overload/state.cpp
+++ b/src/overload/state.cpp
@@ -2,6 +2,7 @@
 #include "overload/state.h"
 
 #include <cmath>
+#include <utility>
 
 namespace copperpoint::overload {
 
@@ -19,6 +20,12 @@
   return "";
 }
 
+std::string State::Describe() const {
+  const auto percent = [](double share) { return std::to_string(std::lround(100 * share)); };
+  return std::string("overload: ") + NameOf(before_) + " to " + NameOf(state_) + "; " +
+         percent(RefusedShare()) + "% of arrivals refused, " + percent(RepeatShare()) + "% repeats";
+}
+
 // What this moment looks like by itself.
 Pressure State::Signs() const {
   const bool refusing = RefusedShare() > kRefusedShare;
@@ -53,7 +60,7 @@
     next = Pressure::kCalm;
   }
   if (next == state_) return std::nullopt;
-  state_ = next;
+  before_ = std::exchange(state_, next);
   entered_ = now;
   return state_;
 }
--- a/src/overload/state.h
+++ b/src/overload/state.h
@@ -8,6 +8,7 @@
 #define COPPERPOINT_OVERLOAD_STATE_H_
 
 #include <optional>
+#include <string>
 
 #include "copperpoint/balancer.h"
 
@@ -34,6 +35,8 @@
   // The new state, when it changes.
   std::optional<Pressure> Judge(TimePoint now, Duration elapsed, const Counts& counts);
   Pressure now() const { return state_; }
+  // The last change, and what it rests on.
+  std::string Describe() const;
   // Of the arrivals of late.
   double RefusedShare() const { return mean_.arrived > 0 ? mean_.refused / mean_.arrived : 0; }
   double RepeatShare() const { return mean_.arrived > 0 ? mean_.repeats / mean_.arrived : 0; }
@@ -42,7 +45,7 @@
   Pressure Signs() const;
 
   Counts mean_;
-  Pressure state_ = Pressure::kCalm, seen_ = Pressure::kCalm;
+  Pressure state_ = Pressure::kCalm, before_ = Pressure::kCalm, seen_ = Pressure::kCalm;
   TimePoint seen_since_{}, entered_{};
 };
 
--- /dev/null
+++ b/tests/evidence_test.cpp
@@ -0,0 +1,218 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What a proxy that sees little makes of it: silence pooled by zone, the part of a cold server that falls to
+// each proxy of a subset, clients of several patiences.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+#include "harness.h"
+
+namespace copperpoint::testing {
+namespace {
+
+// Three zones of six servers each; an id says its zone: 100 and on, 200 and on, 300 and on.
+class Zoned {
+ public:
+  explicit Zoned(Settings settings = Usual()) : rig(std::move(settings)) {
+    std::vector<ServerEntry> list;
+    for (int zone = 1; zone <= 3; ++zone) {
+      for (int i = 0; i < 6; ++i) list.push_back(Entry(static_cast<ServerId>(100 * zone + i), zone));
+    }
+    rig.List(list);
+  }
+  static int ZoneOf(ServerId server) { return static_cast<int>(server / 100); }
+  RequestId Next() { return ++request_; }
+
+  // One request that is answered at once, unless it goes to a zone that is cut off: then no connection comes
+  // up there, and it goes on. The zones that it was sent to.
+  std::vector<int> One(const std::vector<int>& cut) {
+    std::vector<int> zones;
+    const RequestId id = Next();
+    auto server = rig.Ask(id, 0, 10, 3000);
+    for (int attempt = 0; server; ++attempt) {
+      zones.push_back(ZoneOf(*server));
+      const bool lost = std::count(cut.begin(), cut.end(), zones.back()) > 0;
+      if (lost) rig.now += 20;
+      const ServerId to = *server;
+      rig.End(id, attempt, to, lost ? Outcome::kConnectFailed : Outcome::kOk);
+      server = rig.SentTo(id);
+    }
+    rig.Tick(10);
+    return zones;
+  }
+  int Attempts(int n, const std::vector<int>& cut, int zone) {
+    int to = 0;
+    for (int i = 0; i < n; ++i) {
+      const auto zones = One(cut);
+      to += static_cast<int>(std::count(zones.begin(), zones.end(), zone));
+    }
+    return to;
+  }
+
+  Rig rig;
+
+ private:
+  RequestId request_ = 0;
+};
+
+TEST(Zones, ASilentOneGoesOutWholeAfterThreeAttemptsInARow) {
+  Zoned fleet;
+  EXPECT_GT(fleet.Attempts(60, {}, 3), 5);
+  const int lost = fleet.Attempts(60, {3}, 3);
+  EXPECT_GE(lost, 3);
+  EXPECT_LE(lost, 7) << "server by server it would be six times two or more";
+}
+
+TEST(Zones, ItIsTriedAgainAndItsFirstAnswerBringsItBack) {
+  Zoned fleet;
+  fleet.Attempts(60, {}, 3);
+  EXPECT_GE(fleet.Attempts(60, {3}, 3), 3);
+  fleet.rig.Tick(2500);
+  EXPECT_GT(fleet.Attempts(60, {}, 3), 5);
+  fleet.rig.Tick(1);
+  fleet.Attempts(60, {3}, 3);
+  fleet.rig.Tick(2500);
+  EXPECT_LE(fleet.Attempts(60, {3}, 3), 4) << "and out again, if it is still silent";
+}
+
+TEST(Zones, NoneGoesOutWhereNobodyAnswers) {
+  Zoned fleet;
+  fleet.Attempts(30, {}, 3);
+  int told = 0;
+  for (int i = 0; i < 10; ++i) {
+    fleet.rig.Tick(1100);  // so that no line is left out for another
+    const RequestId id = fleet.Next();
+    auto server = fleet.rig.Ask(id, 0, 10, 3000);
+    for (int attempt = 0; server; ++attempt) {
+      const ServerId to = *server;
+      fleet.rig.End(id, attempt, to, Outcome::kConnectFailed);
+      for (const Action& action : fleet.rig.actions) {
+        const auto* log = std::get_if<Log>(&action);
+        told += log && log->text.find("zone") != std::string::npos;
+      }
+      server = fleet.rig.SentTo(id);
+    }
+  }
+  EXPECT_EQ(told, 0) << "the fault is likely this proxy's own";
+  for (int i = 0; i < 10; ++i) EXPECT_FALSE(fleet.One({}).empty());
+}
+
+TEST(Zones, TwoOfThreeCutOffLeaveTheThird) {
+  Zoned fleet;
+  fleet.Attempts(60, {}, 3);
+  fleet.Attempts(30, {2, 3}, 2);
+  int away = 0;
+  for (int i = 0; i < 40; ++i) {
+    for (const int zone : fleet.One({2, 3})) away += zone != 1;
+  }
+  EXPECT_LE(away, 2);
+}
+
+TEST(Zones, OneServerSaysNothingOfItsZone) {
+  Zoned fleet;
+  std::vector<ServerEntry> list{Entry(100, 1), Entry(101, 1), Entry(300, 3)};
+  fleet.rig.List(list);
+  fleet.Attempts(20, {3}, 3);
+  fleet.rig.List({Entry(301, 3)}, ListKind::kDelta);
+  EXPECT_GT(fleet.Attempts(20, {}, 3), 0) << "the new one is used";
+}
+
+// Time-outs of a cut were taken for a crowd: the proxies behind it refused all that came.
+TEST(Zones, TimeOutsOfASilentZoneAreNoCrowd) {
+  Settings settings = Usual();
+  settings.balancers = 100;
+  Zoned fleet(settings);
+  fleet.Attempts(100, {}, 3);
+  for (int i = 0; i < 12; ++i) {  // clients give up at five times the aim
+    const RequestId id = fleet.Next();
+    const auto server = fleet.rig.Ask(id, 2, 10, 1000);
+    if (!server) continue;
+    const bool silent = Zoned::ZoneOf(*server) != 1;
+    fleet.rig.Tick(silent ? 1000 : 10);
+    fleet.rig.End(id, 0, *server, silent ? Outcome::kTimeout : Outcome::kOk, silent ? 1000 : 10);
+  }
+  int served = 0;
+  for (int i = 0; i < 50; ++i) {
+    const auto zones = fleet.One({});
+    served += !zones.empty();
+  }
+  EXPECT_EQ(served, 50);
+}
+
+// A hundred proxies that each use some of sixty servers, half of which start: together they give a cold one
+// about its share of what a warm one gets, and never what pushes it over.
+TEST(ColdStart, ProxiesWithSubsetsTogetherGiveAColdServerItsShare) {
+  constexpr int kProxies = 100, kServers = 60, kRounds = 80;  // of 100 ms
+  constexpr double kWork = 10;
+  Settings settings = Usual();
+  settings.balancers = kProxies;
+  std::map<ServerId, std::vector<double>> sent_at;
+  double started = 0;
+  for (int me = 0; me < kProxies; ++me) {
+    settings.me = me;
+    Rig rig(settings, static_cast<std::uint64_t>(me) + 1);
+    RequestId id = 0;
+    const auto ask = [&](bool count) {
+      rig.Tick(100);
+      if (const auto s = rig.Ask(++id, 2, kWork)) {
+        if (count) sent_at[*s].push_back(rig.now);
+        rig.End(id, 0, *s, Outcome::kOk);
+      }
+    };
+    rig.Servers(kServers);
+    for (int i = 0; i < 100; ++i) ask(false);
+    started = rig.now;
+    std::vector<ServerEntry> restarted;
+    for (ServerId s = 1; s <= kServers; s += 2)
+      restarted.push_back(Entry(s, 0, 0, ServerState::kReady, started));
+    rig.List(restarted, ListKind::kDelta);
+    for (int i = 0; i < kRounds; ++i) ask(true);
+  }
+  // Over the last four seconds cold servers have 0.55 to 0.85 of their capacity: 0.7 in the mean.
+  double warm = 0, cold = 0;
+  for (const auto& [server, times] : sent_at) {
+    const auto late =
+        std::count_if(times.begin(), times.end(), [&](double at) { return at > started + 4000; });
+    (server % 2 ? cold : warm) += static_cast<double>(late);
+  }
+  EXPECT_GT(cold / warm, 0.25) << "by the share of one of all proxies it is 0.1";
+  EXPECT_LT(cold / warm, 1);
+  // Before the start a server had 100 x 10 requests a second over 60: 16.7. Three times its share pushes a
+  // cold one over.
+  for (const auto& [server, times] : sent_at) {
+    if (server % 2 == 0) continue;
+    std::vector<double> sorted = times;
+    std::sort(sorted.begin(), sorted.end());
+    for (std::size_t i = 0; i < sorted.size(); ++i) {
+      const auto within = std::upper_bound(sorted.begin(), sorted.end(), sorted[i] + 1000) -
+                          (sorted.begin() + static_cast<std::ptrdiff_t>(i));
+      const double share = 0.25 + 0.75 * (sorted[i] - started) / 10000;
+      EXPECT_LE(static_cast<double>(within), 3 * share * 16.7 + 3) << server << " at " << sorted[i] - started;
+    }
+  }
+}
+
+// Clients that wait for a fifth of the usual time and come again at once were taken for those at their last
+// try, and refused by an idle fleet.
+TEST(Admission, ClientsOfSeveralPatiencesAreNotAtTheirLastTry) {
+  Rig rig;
+  rig.Servers(3);
+  RequestId id = 0;
+  const auto served = [&](double left) {
+    const auto s = rig.Ask(++id, 2, 10, left);
+    if (s) rig.End(id, 0, *s, Outcome::kOk);
+    return s.has_value();
+  };
+  for (int i = 0; i < 100; ++i) served(600);
+  for (int i = 0; i < 40; ++i) served(120), served(600);
+  int impatient = 0;
+  for (int i = 0; i < 20; ++i) impatient += served(120), served(600);
+  EXPECT_EQ(impatient, 20);
+  EXPECT_FALSE(served(333)) << "no usual time: what is left of a deadline of 1000";
+}
+
+}  // namespace
+}  // namespace copperpoint::testing
