fleet count: what a fleet did, counted over its proxies' logs

Need: causes across hundreds of proxies were counted by hand from lines of level debug, which said nothing of connections, lists, calls of discovery or what cold servers got.

--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -18,6 +18,7 @@
 void AddServe(CLI::App& app);
 void AddConfig(CLI::App& app);
 void AddLab(CLI::App& app, int* exit_code);
+void AddFleet(CLI::App& app, int* exit_code);
 void AddVersion(CLI::App& app);
 
 }  // namespace copperpoint::cli
--- /dev/null
+++ b/src/cli/fleet.cpp
@@ -0,0 +1,118 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "cli/commands.h"
+#include "fleet/count.h"
+#include "lab/report/plot.h"
+
+namespace copperpoint::cli {
+namespace {
+
+struct FleetOptions {
+  std::string folder, json, plots;
+  fleet::Options count;
+};
+
+std::vector<std::filesystem::path> LogsOf(const std::string& folder) {
+  std::vector<std::filesystem::path> files;
+  for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+    if (entry.is_regular_file()) files.push_back(entry.path());
+  }
+  if (files.empty()) throw std::invalid_argument(folder + ": no files in it");
+  std::sort(files.begin(), files.end());
+  return files;
+}
+
+std::vector<lab::Chart> Charts(const fleet::Counter& counter) {
+  lab::Chart ends{"requests", "How requests ended", "second", "a second", {}, {}};
+  lab::Chart attempts{"attempts", "How attempts ended", "second", "a second", {}, {}};
+  lab::Chart load{"load", "Sent to each server", "second", "requests a second", {}, {}};
+  const auto draw = [&](lab::Chart& chart, const fleet::Counts& names, fleet::Counts fleet::Second::*of) {
+    for (const auto& [name, all] : names) {
+      lab::Curve curve{name, {}};
+      for (const auto& [at, second] : counter.seconds()) {
+        const auto found = (second.*of).find(name);
+        curve.points.emplace_back(at - counter.seconds().begin()->first,
+                                  found == (second.*of).end() ? 0.0 : static_cast<double>(found->second));
+      }
+      chart.curves.push_back(std::move(curve));
+    }
+  };
+  draw(ends, counter.Requests(), &fleet::Second::requests);
+  draw(attempts, counter.Attempts(), &fleet::Second::attempts);
+  lab::Curve warm{"warm", {}}, cold{"cold", {}};
+  for (const auto& [at, s] : counter.seconds()) {
+    const double x = static_cast<double>(at - counter.seconds().begin()->first);
+    if (!s.warm_servers.empty())
+      warm.points.emplace_back(x,
+                               static_cast<double>(s.warm_sent) / static_cast<double>(s.warm_servers.size()));
+    if (!s.cold_servers.empty())
+      cold.points.emplace_back(x,
+                               static_cast<double>(s.cold_sent) / static_cast<double>(s.cold_servers.size()));
+  }
+  if (!warm.points.empty()) load.curves.push_back(std::move(warm));
+  if (!cold.points.empty()) load.curves.push_back(std::move(cold));
+  std::vector<lab::Chart> charts;
+  for (lab::Chart* chart : {&ends, &attempts, &load}) {
+    if (!chart->curves.empty()) charts.push_back(std::move(*chart));
+  }
+  return charts;
+}
+
+int Count(const FleetOptions& options) {
+  fleet::Counter counter(options.count);
+  for (const auto& file : LogsOf(options.folder)) {
+    std::ifstream in(file, std::ios::binary);
+    if (!in) throw std::invalid_argument(file.string() + ": cannot be read");
+    counter.Begin(file.stem().string());
+    for (std::string line; std::getline(in, line);) counter.Add(line);
+  }
+  if (counter.lines() == counter.unreadable())
+    throw std::invalid_argument(options.folder + ": no line of it is one of a proxy's log");
+  if (!options.json.empty()) {
+    std::ofstream out(options.json, std::ios::binary);
+    out << counter.Json().dump(1) << '\n';
+    if (!out.flush()) throw std::runtime_error(options.json + ": cannot be written");
+  }
+  if (!options.plots.empty())
+    std::cout << lab::WriteCharts(Charts(counter), "A fleet, counted over its logs", "", options.plots)
+              << '\n';
+  if (options.count.request.empty()) {
+    std::cout << counter.Table();
+    return kDone;
+  }
+  const auto story = counter.Story();
+  for (const std::string& line : story) std::cout << line << '\n';
+  if (story.empty()) std::cerr << "copperpoint: " << options.count.request << ": in none of these logs\n";
+  return story.empty() ? kFault : kDone;
+}
+
+}  // namespace
+
+void AddFleet(CLI::App& app, int* exit_code) {
+  auto options = std::make_shared<FleetOptions>();
+  CLI::App* group = app.add_subcommand("fleet", "What a fleet of proxies did: count over their logs");
+  group->require_subcommand(1);
+  CLI::App* count =
+      group->add_subcommand("count", "Count over the logs of all proxies, a file each (docs/fleet.md)");
+  count->footer("Example: copperpoint fleet count logs --json counted.json");
+  count->add_option("LOGDIR", options->folder, "A folder of logs of level debug, text or JSON")
+      ->required()
+      ->check(CLI::ExistingDirectory);
+  count->add_option("--request", options->count.request,
+                    "Tell the story of this Req-Id, or of all tries of this wish, through every proxy");
+  count->add_option("--cold-for-ms", options->count.cold_for_ms, "Age below which a server counts as cold")
+      ->check(CLI::NonNegativeNumber);
+  count->add_option("--json", options->json, "Write all that was counted here");
+  count->add_option("--plot", options->plots, "Draw it into this folder: SVG, and one HTML page");
+  count->callback([options, exit_code] { *exit_code = Count(*options); });
+}
+
+}  // namespace copperpoint::cli
--- a/src/cli/lab.cpp
+++ b/src/cli/lab.cpp
@@ -23,7 +23,8 @@
 namespace {
 
 struct Options {
-  std::string scenario, policy = "ours", json, folder, input, out;
+  std::string scenario, policy = "ours", json, folder, input, out, logs;
+  bool json_logs = false;
   std::vector<std::string> set, vary, policies;
   std::uint64_t seed = 1, trace = 0;
   std::vector<std::uint64_t> seeds;
@@ -90,6 +91,8 @@
   run.policy = options.policy;
   run.seed = options.seed;
   run.trace = options.trace;
+  run.logs = options.logs;
+  run.log_format = options.json_logs ? log::Format::kJson : log::Format::kText;
   const lab::RunResult result = lab::RunAndTell(scenario, run);
   if (!options.json.empty()) Write(options.json, result.json.dump(1) + '\n');
   nlohmann::ordered_json brief = result.json;
@@ -186,6 +189,8 @@
   run->add_option("--seed", options->seed, "The day and its arrivals");
   run->add_option("--json", options->json, "Write the whole result here");
   run->add_option("--trace", options->trace, "Tell the story of this request");
+  run->add_option("--logs", options->logs, "Write the log of each proxy into this folder (fleet count)");
+  run->add_flag("--json-logs", options->json_logs, "As JSON, a line each");
   run->callback([options, exit_code] { *exit_code = RunOne(*options); });
 
   CLI::App* compare = Sub(lab, "compare", "All policies on the same arrivals, in one table",
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -36,6 +36,7 @@
   copperpoint::cli::AddServe(app);
   copperpoint::cli::AddConfig(app);
   copperpoint::cli::AddLab(app, &exit_code);
+  copperpoint::cli::AddFleet(app, &exit_code);
   copperpoint::cli::AddVersion(app);
   try {
     app.parse(argc, argv);
--- /dev/null
+++ b/src/decision/words.h
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The words for what the module knows, as logs have them: the proxy's and the emulator's are read by one
+// reader.
+#ifndef COPPERPOINT_DECISION_WORDS_H_
+#define COPPERPOINT_DECISION_WORDS_H_
+
+#include <cstddef>
+
+#include "copperpoint/balancer.h"
+
+namespace copperpoint {
+
+inline const char* WordFor(Outcome outcome) {
+  static constexpr const char* kWords[] = {"ok",    "error",     "full", "timeout", "connect_failed",
+                                           "reset", "cancelled", "moot", "unknown"};
+  return kWords[static_cast<std::size_t>(outcome)];
+}
+
+inline const char* WordFor(ListKind kind) {
+  static constexpr const char* kWords[] = {"delta", "full", "cached", "failed"};
+  return kWords[static_cast<std::size_t>(kind)];
+}
+
+inline const char* WordFor(ServerState state) {
+  static constexpr const char* kWords[] = {"gone", "ready", "draining"};
+  return kWords[static_cast<std::size_t>(state)];
+}
+
+}  // namespace copperpoint
+
+#endif  // COPPERPOINT_DECISION_WORDS_H_
--- a/src/lab/run/run.cpp
+++ b/src/lab/run/run.cpp
@@ -29,6 +29,7 @@
         fates_(s_, options.seed, service_, news_, crowd_) {
     service_.SetCrowd(&crowd_);
     s_.traced = options.trace;
+    if (!options.logs.empty()) s_.logs.emplace(options.logs, options.log_format, s_.proxies.size());
   }
 
   RunResult Play() {
@@ -175,6 +176,7 @@
   RunResult result = Run(scenario, options);
   if (result.broken == 0 || result.first_broken == 0 || options.trace != 0) return result;
   options.trace = result.first_broken;
+  options.logs.clear();
   result.story = Run(scenario, options).story;
   return result;
 }
--- a/src/lab/run/run.h
+++ b/src/lab/run/run.h
@@ -14,6 +14,7 @@
 
 #include "lab/policies/policy.h"
 #include "lab/scenario/scenario.h"
+#include "log/log.h"
 
 namespace copperpoint::lab {
 
@@ -22,7 +23,9 @@
 struct RunOptions {
   std::string policy = "ours";
   std::uint64_t seed = 1;
-  std::uint64_t trace = 0;         // a request whose story is kept; 0: none
+  std::uint64_t trace = 0;  // a request whose story is kept; 0: none
+  std::string logs;         // a folder for the log of each proxy, as `serve` writes it; empty: none
+  log::Format log_format = log::Format::kText;
   MakePolicyFn make = MakePolicy;  // tests put policies of their own here
 };
 
--- a/src/lab/world/news.cpp
+++ b/src/lab/world/news.cpp
@@ -92,9 +92,22 @@
     Tell(p, backend);
     update.entries.push_back(Entry(backend));
   }
+  LogList(p, "delta", update.entries);
   feed_(p, std::move(update));
 }
 
+void News::LogList(std::uint32_t p, const char* kind, const std::vector<ServerEntry>& entries) {
+  if (!s_.logs) return;
+  s_.LogOf(p, "list_taken", {{"kind", kind}, {"members", static_cast<std::int64_t>(entries.size())}});
+  for (const ServerEntry& entry : entries) {
+    const Micros up_since = known_[entry.server].up_since;
+    s_.LogOf(p, "server_listed",
+             {{"server", entry.server},
+              {"zone", entry.zone},
+              {"up_since_ms", up_since > 0 ? ProxyLogs::kOriginMs + ToMs(up_since) : 0}});
+  }
+}
+
 std::vector<ServerEntry> News::List(std::uint32_t p) {
   std::vector<ServerEntry> list;
   s_.proxies[p].revision = log_.size();
@@ -103,11 +116,13 @@
     if (known_[b].up_since > 0) Tell(p, b);
     if (known_[b].state != ServerState::kGone) list.push_back(Entry(b));
   }
+  LogList(p, "cached", list);
   return list;
 }
 
 void News::Call(std::uint32_t p) {
   ++s_.metrics.discovery_calls;
+  s_.LogOf(p, "discovery_called", {});
   ProxyHost& proxy = s_.proxies[p];
   Wait(p);
   const Registry& r = s_.scenario.discovery;
@@ -133,6 +148,7 @@
 void News::OnCallFailed(std::uint32_t p, std::uint64_t life) {
   ProxyHost& proxy = s_.proxies[p];
   if (!proxy.alive || proxy.life != life) return;
+  s_.LogOf(p, "discovery_failed", {{"reason", "no answer"}});
   feed_(p, ListUpdate{ListKind::kFailed, {}});
 }
 
--- a/src/lab/world/news.h
+++ b/src/lab/world/news.h
@@ -33,6 +33,7 @@
   std::vector<ServerEntry> List(std::uint32_t proxy);
 
  private:
+  void LogList(std::uint32_t p, const char* kind, const std::vector<ServerEntry>& entries);
   struct Known {
     ServerState state = ServerState::kReady;
     Micros up_since = 0;
--- a/src/lab/world/service.cpp
+++ b/src/lab/world/service.cpp
@@ -5,6 +5,9 @@
 #include <cmath>
 #include <utility>
 
+#include "decision/words.h"
+#include "overload/repeats.h"
+
 namespace copperpoint::lab {
 namespace {
 
@@ -109,6 +112,10 @@
   if (p.alive && p.life == High(token_and_life)) Feed(proxy, TimerFired{Low(token_and_life)});
 }
 
+void Service::Do(std::uint32_t proxy, const Log& action) {
+  s_.LogOf(proxy, "decision", {{"text", action.text}});
+}
+
 void Service::Do(std::uint32_t proxy, const SetTimer& action) {
   const double in_ms = (action.at - s_.time()).count();
   // Rounded up: a policy that is woken a moment early would not ask again.
@@ -140,6 +147,14 @@
   submit.work_ms = t.wish.hint_ms;
   submit.client_retry = s_.scenario.clients.marks_retry && t.tries_left < s_.MostRepeats();
   Recognise(t, submit);
+  if (s_.logs) {
+    s_.LogOf(t.proxy, "request_taken",
+             {{"request", submit.request},
+              {"id", log::Hex(submit.request)},
+              {"wish", log::Hex(overload::FingerprintOf(submit))},
+              {"class", submit.request_class},
+              {"work_ms", submit.work_ms}});
+  }
   Feed(t.proxy, submit);
 }
 
@@ -170,8 +185,17 @@
   return judged;
 }
 
-void Service::Conclude(std::uint32_t slot, Final final, Duration retry_after) {
+void Service::Conclude(std::uint32_t slot, Final final, const char* why, Duration retry_after) {
   Try& t = s_.At(slot);
+  const char* how = final == Final::kServed ? "served" : final == Final::kRefused ? "refused" : "failed";
+  s_.LogOf(t.proxy, "request_ended",
+           {{"request", State::IdOf(slot, t)},
+            {"class", t.wish.cls},
+            {"how", how},
+            {"why", why},
+            {"attempts", static_cast<std::int64_t>(t.attempts.size())},
+            {"after_ms", ToMs(s_.now() - t.arrived)},
+            {"allowed_ms", ToMs(t.due - t.arrived)}});
   s_.observer.Answered(s_.now(), State::IdOf(slot, t), t.proxy, t.final);
   t.final = true;
   if (RecognitionIsMeasured()) {
@@ -179,10 +203,7 @@
     const bool may_return = final == Final::kRefused || (final == Final::kFailed && c.safe);
     s_.proxies[t.proxy].recognition.Ended(s_.time(), t.recognised, may_return, Duration(c.deadline_ms));
   }
-  s_.Tell(slot, "final answer: {}",
-          final == Final::kServed    ? "served"
-          : final == Final::kRefused ? "refused"
-                                     : "failed");
+  s_.Tell(slot, "final answer: {}", how);
   crowd_->OnFinal(slot, final, retry_after);
 }
 
@@ -192,7 +213,7 @@
   if (!t || t->final) return;
   ++s_.metrics.refused;
   s_.observer.Refused(s_.now(), action.request, proxy, Judged(*t));
-  Conclude(slot, Final::kRefused, action.retry_after);
+  Conclude(slot, Final::kRefused, action.why, action.retry_after);
 }
 
 void Service::Do(std::uint32_t proxy, const Fail& action) {
@@ -200,7 +221,7 @@
   Try* t = Held(proxy, action.request, &slot);
   if (!t || t->final) return;
   ++s_.metrics.failed;
-  Conclude(slot, Final::kFailed, Duration(0));
+  Conclude(slot, Final::kFailed, action.why, Duration(0));
 }
 
 bool Service::OnDue(std::uint32_t slot) {
@@ -246,6 +267,9 @@
   s_.metrics.cross_zone += s_.backends[action.server].zone() != s_.proxies[proxy].zone;
   t->attempts.push_back({action.server, s_.backends[action.server].life(), s_.now()});
   s_.Tell(slot, "attempt {} goes to backend {}", n, action.server);
+  s_.LogOf(
+      proxy, "attempt_sent",
+      {{"request", action.request}, {"attempt", n}, {"server", action.server}, {"work_ms", t->wish.hint_ms}});
   Send(slot, n);
   const Micros until = s_.now() + FromMs(std::max(0.0, action.timeout.count()));
   if (action.timeout.count() != 0 && until < t->due) {
@@ -289,6 +313,7 @@
     return;
   }
   ++s_.metrics.connections;
+  s_.LogOf(t.proxy, "connection_opened", {{"server", a.backend}});
   if (c.life != b.life()) c = {0, 0, b.life(), s_.now()};
   ++c.open;
   a.connected = true;
@@ -436,10 +461,16 @@
   a.out = false;
   a.may_have_run = !ProvesItNeverRan(outcome);
   s_.Tell(slot, "attempt {} ends: {}", n, NameOf(outcome));
+  s_.LogOf(t.proxy, "attempt_ended",
+           {{"request", State::IdOf(slot, t)},
+            {"attempt", n},
+            {"server", a.backend},
+            {"outcome", WordFor(outcome)},
+            {"took_ms", ToMs(s_.now() - a.sent)}});
   Release(t.proxy, a, outcome == Outcome::kOk || outcome == Outcome::kError || outcome == Outcome::kFull);
   if (outcome == Outcome::kOk && !t.final) {
     s_.metrics.useful_ms += a.ran_ms;
-    Conclude(slot, Final::kServed, Duration(0));
+    Conclude(slot, Final::kServed, "", Duration(0));
   }
   AttemptEnded end;
   end.request = State::IdOf(slot, t);
--- a/src/lab/world/service.h
+++ b/src/lab/world/service.h
@@ -70,7 +70,7 @@
   void Do(std::uint32_t proxy, const SetTimer& action);
   void Do(std::uint32_t proxy, const Subscribe& action);
   void Do(std::uint32_t proxy, const CloseIdle& action);
-  void Do(std::uint32_t, const Log&) {}
+  void Do(std::uint32_t proxy, const Log& action);
 
   Try* Held(std::uint32_t proxy, RequestId request, std::uint32_t* slot);
   Observer::Attempts Judged(const Try& t) const;
@@ -78,7 +78,7 @@
   void End(std::uint32_t slot, std::uint32_t attempt, Outcome outcome);
   bool RecognitionIsMeasured() const;
   void Recognise(Try& t, const Submit& submit);
-  void Conclude(std::uint32_t slot, Final final, Duration retry_after);
+  void Conclude(std::uint32_t slot, Final final, const char* why, Duration retry_after);
   void Reply(std::uint32_t slot, std::uint32_t attempt, Outcome outcome);
   void Run(std::uint32_t backend, const Backend::Started& started);
   void RunNext(std::uint32_t backend);
--- a/src/lab/world/state.h
+++ b/src/lab/world/state.h
@@ -12,13 +12,16 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "lab/core/queue.h"
 #include "lab/core/random.h"
 #include "lab/policies/policy.h"
 #include "lab/report/metrics.h"
+#include "lab/report/proxy_logs.h"
 #include "lab/world/arrivals.h"
 #include "lab/world/backend.h"
 #include "lab/world/day.h"
@@ -145,6 +148,11 @@
         fmt::format("{:12.3f} ms  {}", ToMs(now()), fmt::format(text, std::forward<Args>(args)...)));
   }
   RequestId traced = 0;  // 0: none
+  std::optional<ProxyLogs> logs;
+  // A line in the log of a proxy.
+  void LogOf(std::uint32_t proxy, std::string_view event, std::initializer_list<log::Field> fields) {
+    if (logs) logs->Write(proxy, ToMs(now()), event, fields);
+  }
   std::vector<std::string> story;
 
  private:
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -95,6 +95,8 @@
              .most = 1e6});
 }
 
+std::string Hex(std::uint64_t number) { return fmt::format("{:016x}", number); }
+
 std::string FormatLine(Format format, std::chrono::system_clock::time_point at, Level level,
                        std::string_view event, std::initializer_list<Field> fields) {
   return format == Format::kJson ? Json(at, level, event, fields) : Text(at, level, event, fields);
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -109,6 +109,9 @@
   std::int64_t left_out_ = 0;
 };
 
+// Sixteen hexadecimal digits: numbers beyond 53 bits don't survive every reader of JSON.
+std::string Hex(std::uint64_t number);
+
 // One line in the given form.
 std::string FormatLine(Format format, std::chrono::system_clock::time_point at, Level level,
                        std::string_view event, std::initializer_list<Field> fields);
--- a/src/proxy/data/backends.cpp
+++ b/src/proxy/data/backends.cpp
@@ -17,6 +17,7 @@
 #include <sstream>
 #include <utility>
 
+#include "log/log.h"
 #include "proxy/clock.h"
 
 namespace copperpoint::proxy {
@@ -443,6 +444,7 @@
   if (backend.address.port() == 0) return connection->FinishSoon(Outcome::kConnectFailed);
   if (open_ > limits_.connections && !CloseOldestIdle()) return connection->FinishSoon(Outcome::kMoot);
   ++opened_;
+  log::Global().Debug("connection_opened", {{"server", server}});
   connection->Open(backend.address, limits_.connect_timeout);
 }
 
--- a/src/proxy/discovery/discovery.cpp
+++ b/src/proxy/discovery/discovery.cpp
@@ -158,6 +158,7 @@
   if (moving_) return StartMove();
   again_.cancel();
   if (stream_) stream_->Orphan();
+  log::Global().Debug("discovery_called");
   stream_ = std::make_shared<Stream>(*this, options_.address, /*whole_list_first=*/false);
   stream_->Start();
 }
@@ -173,6 +174,7 @@
 void Discovery::StartMove() {
   again_.cancel();
   if (next_) next_->Orphan();
+  log::Global().Debug("discovery_called");
   next_ = std::make_shared<Stream>(*this, next_address_, /*whole_list_first=*/true);
   next_->Start();
 }
@@ -202,6 +204,7 @@
 }
 
 void Discovery::OnEnd(Stream* from, const std::string& why) {
+  log::Global().Debug("discovery_failed", {{"reason", why}});
   // After a move nothing is lost with the old watch: only the new one is tried again.
   if (moving_ && from == stream_.get()) return stream_.reset();
   if (!std::exchange(told_, true)) log::Global().Warn("discovery_away", {{"reason", why}});
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -7,7 +7,9 @@
 #include <unordered_set>
 #include <utility>
 
+#include "decision/words.h"
 #include "log/log.h"
+#include "overload/repeats.h"
 
 namespace copperpoint::proxy {
 namespace {
@@ -37,12 +39,6 @@
   return static_cast<std::size_t>(PeerDescriptors(config) * config.shares.clients);
 }
 
-const char* NameOf(Outcome outcome) {
-  static constexpr const char* kNames[] = {"ok",    "error",     "full", "timeout", "connect_failed",
-                                           "reset", "cancelled", "moot", "unknown"};
-  return kNames[static_cast<std::size_t>(outcome)];
-}
-
 // One folder may serve proxies of several names.
 std::string StateFile(const Config& config, const char* what) {
   if (config.state_folder.empty()) return "";
@@ -310,7 +306,16 @@
   }
   ListUpdate update;
   update.kind = kind;
+  log::Global().Debug("list_taken", {{"kind", WordFor(kind)},
+                                     {"revision", static_cast<std::int64_t>(list.revision)},
+                                     {"members", static_cast<std::int64_t>(list.members.size())}});
   for (const Member& m : list.members) {
+    log::Global().Debug("server_listed", {{"server", numbers_.Of(m.id)},
+                                          {"id", m.id},
+                                          {"zone", m.zone},
+                                          {"kind", m.kind},
+                                          {"state", WordFor(m.state)},
+                                          {"up_since_ms", m.up_since_unix_ms}});
     ServerEntry entry;
     entry.server = numbers_.Of(m.id);
     entry.zone = ZoneOf(m.zone);
@@ -376,6 +381,14 @@
   Pending& pending = pending_[id];
   pending.arrived = Steady::now();
   pending.request_class = request.request_class;
+  pending.work_ms = request.work_ms;
+  if (log::Global().Enabled(log::Level::kDebug)) {
+    log::Global().Debug("request_taken", {{"request", id},
+                                          {"id", std::string(request.message["Req-Id"])},
+                                          {"wish", log::Hex(overload::FingerprintOf(submit))},
+                                          {"class", submit.request_class},
+                                          {"work_ms", submit.work_ms}});
+  }
   open_ids_.emplace(request.message["Req-Id"]);
   pending.message = std::make_shared<const HttpRequest>(std::move(request.message));
   pending.due = request.due;
@@ -408,6 +421,10 @@
   }
   Pending& pending = found->second;
   pending.attempt_out = true;
+  log::Global().Debug("attempt_sent", {{"request", action.request},
+                                       {"attempt", attempt},
+                                       {"server", action.server},
+                                       {"work_ms", pending.work_ms}});
   Duration timeout = pending.due - now;
   if (action.timeout.count() != 0) timeout = std::clamp(action.timeout, Duration(0), timeout);
   backends_->Send(
@@ -430,7 +447,7 @@
   log::Global().Debug("attempt_ended", {{"request", request},
                                         {"attempt", attempt},
                                         {"server", server},
-                                        {"outcome", NameOf(end.outcome)},
+                                        {"outcome", WordFor(end.outcome)},
                                         {"took_ms", end.took.count()}});
   if (found != pending_.end()) found->second.attempt_out = false;
   if (result.outcome == Outcome::kOk) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -70,6 +70,7 @@
     std::shared_ptr<Upload> upload;  // null if the message is whole
     Steady::time_point arrived{}, due{};
     int request_class = -1;
+    double work_ms = 0;                    // hinted
     std::shared_ptr<Responder> responder;  // null once answered
     int attempts = 0;
     bool attempt_out = false;
