Cold servers get three quarters of their share at most, where proxies keep to subsets

Cause: FitsColdBudget goes by what a mean server of the kind serves; machines differ within it (0.14 of the mean), and sharers of a server by one or two.

Change: kColdOfShare, 0.75: less than a share by about two deviations of the machines' speed.

--- a/src/decision/balance.cpp
+++ b/src/decision/balance.cpp
@@ -46,6 +46,7 @@
 constexpr double kGoldenRatio = 0.6180339887498949;
 constexpr double kZoneGain = 0.1;           // of one answer, in what the own zone and the others lose
 constexpr double kColdCaution = 0.6;        // of the fall multiple: the rest is for chance and for late news
+constexpr double kColdOfShare = 0.75;       // where proxies keep to subsets: sharers and machines differ
 constexpr double kServedBy = 0.5;           // of the servers of late, that may have served what is served now
 constexpr double kColdLeast = 0.25;         // standard cores that a warm server has at the very least
 constexpr Duration kWarmRateMemory{30000};  // of what a warm server serves: it does not lose its cores
@@ -481,7 +482,7 @@
     if (s.in_subset != built_) return false;
     const double of_subset = static_cast<double>(ring_.size()) / static_cast<double>(subset_.size());
     const double multiple = kColdCaution * settings_.fall_multiple;
-    const double rate = (of_subset > 1 ? std::min(1.0, multiple) * of_subset : multiple) * share *
+    const double rate = (of_subset > 1 ? std::min(kColdOfShare, multiple) * of_subset : multiple) * share *
                         warm_rate_ * std::min(1.0, kinds_.Of(s.entry.kind, kYoung * request_work_.mean));
     if (sent + work <= rate * settings_.overload_for.count()) return true;
     const double least =
