fleet count: the last log's process without a list counts; one Write for results

Seen on reading the change again: a process whose log is the last one and that got no list was left out of never_fresh, which was summed only when the next log began; the file of results was written by a copy of Write in cli/lab.cpp.

Change: never_fresh() counts the process that still waits; Write is declared in cli/commands.h and serves both.

Checked: laboratory and counter tests pass, assertions as they were; no decision changes.

--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -6,6 +6,7 @@
 #define COPPERPOINT_CLI_COMMANDS_H_
 
 #include <CLI/App.hpp>
+#include <string>
 
 namespace copperpoint::cli {
 
@@ -15,6 +16,9 @@
   kUsage = 2,  // wrong usage or configuration
 };
 
+// A result's file. Throws std::runtime_error if it cannot be written.
+void Write(const std::string& file, const std::string& text);
+
 void AddServe(CLI::App& app);
 void AddConfig(CLI::App& app);
 void AddLab(CLI::App& app, int* exit_code);
--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -76,11 +76,7 @@
   }
   if (counter.lines() == counter.unreadable())
     throw std::invalid_argument(options.folder + ": no line of it is one of a proxy's log");
-  if (!options.json.empty()) {
-    std::ofstream out(options.json, std::ios::binary);
-    out << counter.Json().dump(1) << '\n';
-    if (!out.flush()) throw std::runtime_error(options.json + ": cannot be written");
-  }
+  if (!options.json.empty()) Write(options.json, counter.Json().dump(1) + '\n');
   if (!options.plots.empty())
     std::cout << lab::WriteCharts(Charts(counter), "A fleet, counted over its logs", "", options.plots)
               << '\n';
--- a/src/cli/lab.cpp
+++ b/src/cli/lab.cpp
@@ -46,12 +46,6 @@
   return config::ReadFrom<lab::Scenario>(TextOf(options), options.scenario);
 }
 
-void Write(const std::string& file, const std::string& text) {
-  std::ofstream out(file, std::ios::binary);
-  out << text;
-  if (!out.flush()) throw std::runtime_error(file + ": cannot be written");
-}
-
 // On a terminal, one line that is written over.
 void Progress(std::size_t done, std::size_t all) {
   if (!::isatty(STDERR_FILENO)) return;
@@ -175,6 +169,12 @@
 
 }  // namespace
 
+void Write(const std::string& file, const std::string& text) {
+  std::ofstream out(file, std::ios::binary);
+  out << text;
+  if (!out.flush()) throw std::runtime_error(file + ": cannot be written");
+}
+
 void AddLab(CLI::App& app, int* exit_code) {
   auto options = std::make_shared<Options>();
   CLI::App* lab =
--- a/src/fleet/count.h
+++ b/src/fleet/count.h
@@ -67,7 +67,7 @@
   std::int64_t ejections() const { return ejections_; }
   // From a process's start to its first list from discovery, for each that got one; and those that got none.
   const std::vector<double>& fresh_after_ms() const { return fresh_after_ms_; }
-  std::int64_t never_fresh() const { return never_fresh_; }
+  std::int64_t never_fresh() const { return never_fresh_ + (started_ms_ >= 0); }
   // The lines of one request or wish by time, each with its proxy.
   std::vector<std::string> Story() const;
 
