--- a/src/fleet/count.cpp
+++ b/src/fleet/count.cpp
@@ -166,7 +166,7 @@
                               {"discovery_failures", discovery_failures_},
                               {"ejections_told", ejections_},
                               {"fresh_list_ms_p95", At(fresh_after_ms_, 0.95)},
-                              {"never_fresh", never_fresh_}};
+                              {"never_fresh", never_fresh()}};
   auto& seconds = json["seconds"] = nlohmann::ordered_json::array();
   for (const auto& [at, second] : seconds_) {
     seconds.push_back({{"at_s", at},
@@ -223,7 +223,7 @@
       "calls of discovery: {}, {} ended in failure; first list after {:.0f} ms at the median, {:.0f} "
       "for 95%; none for {}\n",
       discovery_calls_, discovery_failures_, At(fresh_after_ms_, 0.5), At(fresh_after_ms_, 0.95),
-      never_fresh_);
+      never_fresh());
   std::vector<const std::pair<const std::string, ServerCount>*> worst;
   for (const auto& server : servers_) worst.push_back(&server);
   const auto lost = [](const ServerCount& s) { return s.sent - Get(s.outcomes, "ok"); };
