--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -37,6 +37,7 @@
   copperpoint::cli::AddConfig(app);
   copperpoint::cli::AddLab(app, &exit_code);
   copperpoint::cli::AddFleet(app, &exit_code);
+  copperpoint::cli::AddRig(app, &exit_code);
   copperpoint::cli::AddVersion(app);
   try {
     app.parse(argc, argv);
--- /dev/null
+++ b/src/cli/rig.cpp
@@ -0,0 +1,146 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <algorithm>
+#include <atomic>
+#include <filesystem>
+#include <iostream>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "cli/commands.h"
+#include "rig/plan.h"
+#include "rig/virtual.h"
+
+namespace copperpoint::cli {
+namespace {
+
+struct RigOptions {
+  std::string file, json, folder = "lab/rig";
+  std::uint64_t seed = 1;
+  int seeds = 1, members = 0, threads = 0;
+  bool in_virtual_time = false;
+  std::vector<std::string> without;
+};
+
+void Switch(const std::string& part, view::Options* options) {
+  if (part == "suspicion") options->with_suspicion = false;
+  if (part == "doubt") options->with_self_doubt = false;
+  if (part == "helpers") options->with_helpers = false;
+  if (part == "sync") options->with_sync = false;
+}
+
+std::string Replay(const RigOptions& options, std::uint64_t seed) {
+  std::string line = "copperpoint rig run " + options.file + " --seed " + std::to_string(seed);
+  if (options.members) line += " --members " + std::to_string(options.members);
+  for (const std::string& part : options.without) line += " --without " + part;
+  return line + (options.in_virtual_time ? " --virtual" : "");
+}
+
+void Tell(const RigOptions& options, std::uint64_t seed, const rig::Outcome& outcome) {
+  for (const std::string& line : outcome.story) std::cout << "  " << line << '\n';
+  if (!outcome.holds) std::cout << "  replay: " << Replay(options, seed) << '\n';
+}
+
+int RunVirtual(const RigOptions& options, const rig::Plan& plan) {
+  std::vector<rig::Outcome> outcomes(static_cast<std::size_t>(options.seeds));
+  std::atomic<std::size_t> next{0};
+  const auto work = [&] {
+    for (std::size_t i; (i = next++) < outcomes.size();) {
+      rig::VirtualOptions run;
+      run.seed = options.seed + i;
+      run.timeline = options.seeds == 1;
+      for (const std::string& part : options.without) Switch(part, &run.view);
+      outcomes[i] = rig::PlayVirtual(plan, run);
+    }
+  };
+  const int cores = static_cast<int>(std::max(1u, std::thread::hardware_concurrency()));
+  std::vector<std::thread> threads;
+  for (int i = 1; i < std::min(options.threads > 0 ? options.threads : cores, options.seeds); ++i)
+    threads.emplace_back(work);
+  work();
+  for (std::thread& thread : threads) thread.join();
+
+  nlohmann::ordered_json all = nlohmann::ordered_json::array();
+  int failed = 0;
+  for (std::size_t i = 0; i < outcomes.size(); ++i) {
+    failed += !outcomes[i].holds;
+    if (!outcomes[i].holds && failed <= 5) {
+      std::cout << options.file << ", seed " << options.seed + i << ": does not hold\n";
+      Tell(options, options.seed + i, outcomes[i]);
+    }
+    all.push_back(outcomes[i].json);
+  }
+  // The spread of each property's figure over the seeds.
+  for (std::size_t p = 0; p < all[0]["properties"].size(); ++p) {
+    const auto& shown = all[0]["properties"][p];
+    std::cout << shown["kind"].get<std::string>();
+    for (const auto& [name, value] : shown.items()) {
+      if (!value.is_number() || name == "bound") continue;
+      std::vector<double> values;
+      for (const auto& json : all) values.push_back(json["properties"][p][name].get<double>());
+      std::sort(values.begin(), values.end());
+      const auto at = [&](double share) {
+        return values[std::min(values.size() - 1,
+                               static_cast<std::size_t>(share * static_cast<double>(values.size())))];
+      };
+      std::cout << "  " << name << ' ' << at(0.5);
+      if (values.size() > 1) std::cout << " (p99 " << at(0.99) << ", most " << values.back() << ')';
+    }
+    std::cout << "  bound " << shown["bound"].get<double>() << '\n';
+  }
+  std::cout << options.file << ": " << outcomes.size() - static_cast<std::size_t>(failed) << " of "
+            << outcomes.size() << " seeds hold\n";
+  if (!options.json.empty())
+    Write(options.json, (options.seeds == 1 ? all[0] : nlohmann::ordered_json{{"runs", all}}).dump(1) + '\n');
+  return failed ? kFault : kDone;
+}
+
+int RunRig(const RigOptions& options) {
+  rig::Plan plan = rig::ReadPlan(options.file);
+  if (options.members > 0) plan.members = options.members;
+  return RunVirtual(options, plan);
+}
+
+void ListRig(const std::string& folder) {
+  std::vector<std::filesystem::path> files;
+  for (const auto& entry : std::filesystem::directory_iterator(folder))
+    if (entry.path().extension() == ".toml") files.push_back(entry.path());
+  std::sort(files.begin(), files.end());
+  for (const auto& file : files)
+    std::cout << file.string() << ": " << rig::ReadPlan(file.string()).about << '\n';
+}
+
+}  // namespace
+
+void AddRig(CLI::App& app, int* exit_code) {
+  auto options = std::make_shared<RigOptions>();
+  CLI::App* group = app.add_subcommand("rig", "Many processes of the program, and faults between them");
+  group->require_subcommand(1);
+  CLI::App* run = group->add_subcommand("run", "Play a file of the rig (docs/view.md)");
+  run->footer("Example: copperpoint rig run lab/rig/crash.toml --seed 3 --virtual");
+  run->add_option("FILE", options->file, "What happens, and what has to hold")
+      ->required()
+      ->check(CLI::ExistingFile);
+  run->add_option("--seed", options->seed,
+                  "What chance decides; the same seed, the same run in virtual time");
+  run->add_option("--seeds", options->seeds, "In virtual time: so many, from --seed on")
+      ->check(CLI::Range(1, 1000000));
+  run->add_option("--members", options->members, "Instead of the file's")->check(CLI::Range(1, 10000));
+  run->add_option("--threads", options->threads, "Seeds at a time; 0: one a core")
+      ->check(CLI::NonNegativeNumber);
+  run->add_option("--without", options->without, "A part of the view switched off, to see what it is worth")
+      ->check(CLI::IsMember({"suspicion", "doubt", "helpers", "sync"}));
+  run->add_flag("--virtual", options->in_virtual_time, "In virtual time, with the same protocol objects");
+  run->add_option("--json", options->json, "Write the result here");
+  run->callback([options, exit_code] { *exit_code = RunRig(*options); });
+  CLI::App* list = group->add_subcommand("list", "The files of the rig, a line each");
+  list->footer("Example: copperpoint rig list lab/rig");
+  list->add_option("FOLDER", options->folder, "Where they are")->check(CLI::ExistingDirectory);
+  list->callback([options] { ListRig(options->folder); });
+}
+
+}  // namespace copperpoint::cli
--- /dev/null
+++ b/src/peers/frame.h
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// How a message between proxies stands in a datagram or a TCP frame: 24 bytes that no version of the format
+// changes, then the message (message.proto).
+//
+//   0  2  'C' 'P'
+//   2  1  version of the writer's format
+//   3  1  the least version that a reader has to know
+//   4  4  which cluster: a hash of its name, so that another cluster's is told from a forgery
+//   8 16  BLAKE2b of all the rest, keyed (libsodium)
+//
+// Nothing here does I/O.
+#ifndef COPPERPOINT_PEERS_FRAME_H_
+#define COPPERPOINT_PEERS_FRAME_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "message.pb.h"
+
+namespace copperpoint::peers {
+
+inline constexpr std::uint8_t kVersion = 1;
+inline constexpr std::uint8_t kLeastVersion = 1;  // that a reader of our messages has to know
+inline constexpr std::size_t kHeader = 24;
+inline constexpr std::size_t kMostDatagram = 1200;  // bytes, header and all
+inline constexpr std::size_t kMostFrame = 8 * 1024 * 1024;
+
+// Why a message was not taken.
+enum class Refusal {
+  kNone,
+  kMalformed,  // too short, no magic, or no message behind a good digest
+  kOtherCluster,
+  kForged,  // the digest is not ours
+  kTooNew,  // a good digest, and a format that we cannot read
+};
+inline constexpr int kRefusals = 5;
+const char* NameOf(Refusal refusal);
+
+// The secret that makes a message one of this fleet's.
+class Seal {
+ public:
+  static constexpr std::size_t kLeastKey = 16, kMostKey = 64;  // bytes
+
+  // Throws std::invalid_argument unless `key` is 16 to 64 bytes long.
+  Seal(std::string_view cluster, std::string_view key);
+
+  std::string Close(const wire::Message& message) const { return Close(message.SerializeAsString()); }
+  // `body` is a serialized message; the versions are for tests of what is to come.
+  std::string Close(std::string_view body, std::uint8_t version = kVersion,
+                    std::uint8_t least = kLeastVersion) const;
+  Refusal Open(std::string_view bytes, wire::Message* message) const;
+
+ private:
+  std::array<unsigned char, 16> Digest(std::string_view bytes) const;
+
+  std::string key_;
+  std::uint32_t cluster_ = 0;
+};
+
+}  // namespace copperpoint::peers
+
+#endif  // COPPERPOINT_PEERS_FRAME_H_
--- /dev/null
+++ b/src/rig/judge.h
@@ -0,0 +1,82 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Judges a run by what was done to the members and what they were seen to say and do. It knows no protocol,
+// and serves processes and virtual time alike.
+#ifndef COPPERPOINT_RIG_JUDGE_H_
+#define COPPERPOINT_RIG_JUDGE_H_
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "rig/plan.h"
+
+namespace copperpoint::rig {
+
+// Seconds since the start of the run.
+class Judge {
+ public:
+  Judge(const Plan& plan, std::uint64_t seed, double silence_s);
+
+  // ---- what was done ----
+  void Started(double at, int member);
+  void Ended(double at, int member, bool with_a_word);
+  void Stopped(double at, int member);
+  void Continued(double at, int member);
+
+  // ---- what was seen ----
+  void SaidDead(double at, int observer, int subject);
+  // Whether all living members have one view, the true one. Only changes need be told.
+  void Agreed(double at, bool agreed);
+  void Bytes(double per_s_out, double per_s_in);  // of the busiest member, from its property's time on
+  void Refusals(std::uint64_t datagrams) { refusals_ += datagrams; }
+  void Served(std::uint64_t served, std::uint64_t asked);
+  void Broke(const std::string& rule) { broken_.push_back(rule); }  // one of the rules of service
+
+  struct Verdict {
+    bool holds = true;
+    nlohmann::ordered_json json;
+    std::vector<std::string> story;  // a line each, of what did not hold
+  };
+  // `with_service`: properties of requests are judged too.
+  Verdict Close(double at, bool with_service);
+
+ private:
+  struct Life {
+    double from = 0, to = -1;  // to < 0: it goes on
+    bool with_a_word = false;
+  };
+  struct Removal {
+    double at = 0;
+    int observer = 0, subject = 0;
+  };
+  struct Death {
+    double at = 0;
+    int subject = 0;
+    std::map<int, double> known;  // by observer
+  };
+  bool LivedThrough(int member, double from, double to) const;
+  bool CutOff(int a, int b, double at) const;
+  nlohmann::ordered_json Known(double end, double* worst, std::vector<std::string>* story) const;
+
+  const Plan& plan_;
+  const double silence_;
+  std::vector<std::vector<Life>> lives_;
+  std::vector<std::vector<Life>> stops_;
+  std::vector<Removal> removals_;  // of the living
+  std::vector<Death> deaths_;
+  std::vector<std::pair<double, bool>> agreement_;
+  double bytes_out_ = 0, bytes_in_ = 0;
+  std::uint64_t served_ = 0, asked_ = 0, refusals_ = 0;
+  std::vector<std::string> broken_;
+  struct Cut {
+    double from = 0, to = 0;
+    std::vector<bool> who, whom;
+  };
+  std::vector<Cut> cuts_;
+};
+
+}  // namespace copperpoint::rig
+
+#endif  // COPPERPOINT_RIG_JUDGE_H_
--- /dev/null
+++ b/src/rig/plan.cpp
@@ -0,0 +1,158 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "rig/plan.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <stdexcept>
+#include <utility>
+
+#include "config/read.h"
+#include "lab/core/random.h"
+
+namespace copperpoint::rig {
+namespace {
+
+const std::vector<std::pair<std::string, FaultKind>> kFaults{
+    {"loss", FaultKind::kLoss},       {"delay", FaultKind::kDelay},     {"duplicate", FaultKind::kDuplicate},
+    {"reorder", FaultKind::kReorder}, {"corrupt", FaultKind::kCorrupt}, {"cut", FaultKind::kCut},
+    {"stop", FaultKind::kStop},       {"starve", FaultKind::kStarve},   {"kill", FaultKind::kKill},
+    {"leave", FaultKind::kLeave},     {"start", FaultKind::kStart}};
+const std::vector<std::pair<std::string, PropertyKind>> kProperties{
+    {"settles_within", PropertyKind::kSettlesWithin},  {"known_within", PropertyKind::kKnownWithin},
+    {"never_removed", PropertyKind::kNeverRemoved},    {"bytes_at_most", PropertyKind::kBytesAtMost},
+    {"served_at_least", PropertyKind::kServedAtLeast}, {"refused_some", PropertyKind::kRefusedSome}};
+
+template <typename Kind>
+std::string Word(const std::vector<std::pair<std::string, Kind>>& names, Kind kind) {
+  for (const auto& [name, one] : names)
+    if (one == kind) return name;
+  return "unknown";
+}
+
+// "p7" is 6; below 0 where it is none.
+int NumberOf(const Plan& plan, std::string_view word) {
+  int number = 0;
+  if (word.size() < 2 || word.front() != 'p') return -1;
+  const auto [end, failed] = std::from_chars(word.data() + 1, word.data() + word.size(), number);
+  if (failed != std::errc() || end != word.data() + word.size() || number < 1 || number > plan.members)
+    return -1;
+  return number - 1;
+}
+
+}  // namespace
+
+std::string NameOf(FaultKind kind) { return Word(kFaults, kind); }
+std::string NameOf(PropertyKind kind) { return Word(kProperties, kind); }
+std::string MemberName(int number) { return fmt::format("p{}", number + 1); }
+std::string ZoneName(const Plan& plan, int number) {
+  return std::string(1, static_cast<char>('a' + number % plan.zones));
+}
+
+void Fault::Describe(config::Visitor& v) {
+  v.Choice("kind", kind, kFaults, {.text = "what happens"});
+  v.Number("at_s", at_s, {.text = "after the start", .unit = "s", .most = 86400});
+  v.Number("for_s", for_s, {.text = "0: to the end", .unit = "s", .most = 86400});
+  v.Words("who", who,
+          {.text = "members: `all`, `p3`, `p3-p9`, `zone:a`, `seeds`, `share:0.1`; links: senders"});
+  v.Words("to", to, {.text = "links: receivers; none: all that are not in `who`"});
+  v.Flag("both", both, {.text = "links: the way back too"});
+  v.Number("amount", amount, {.text = "share of datagrams; of a delay, milliseconds", .most = 1e5});
+  v.Number("least_ms", least_ms,
+           {.text = "starve: the shortest stop", .unit = "ms", .least = 1, .most = 1e5});
+  v.Number("most_ms", most_ms, {.text = "starve: the longest", .unit = "ms", .least = 1, .most = 1e5});
+  v.Check("most_ms", most_ms >= least_ms, "is less than least_ms");
+}
+
+void Property::Describe(config::Visitor& v) {
+  v.Choice("kind", kind, kProperties, {.text = "what has to hold"});
+  v.Number("bound", bound,
+           {.text = "seconds, times, bytes a second or share, as the kind says", .most = 1e9});
+  v.Number("after_s", after_s, {.text = "from when on; -1: as the kind says", .unit = "s", .least = -1});
+}
+
+void Network::Describe(config::Visitor& v) {
+  v.Number("delay_ms", delay_ms, {.text = "one way", .unit = "ms", .least = 0.01, .most = 1e4});
+  v.Number("jitter", jitter, {.text = "deviation of a delay over its mean", .most = 5});
+  v.Number("loss", loss, {.text = "share of datagrams lost all the time", .most = 0.9});
+}
+
+void Service::Describe(config::Visitor& v) {
+  v.Whole32("backends", backends, {.text = "stand-ins", .least = 1, .most = 500});
+  v.Number("work_ms", work_ms,
+           {.text = "of a request, without another beside it", .unit = "ms", .most = 1e4});
+  v.Whole32("slots", slots, {.text = "requests at once; more are turned away", .least = 1, .most = 10000});
+  v.Number("rate", rate, {.text = "requests a second over all proxies; 0: no clients", .most = 1e5});
+}
+
+void Plan::Describe(config::Visitor& v) {
+  v.Word("about", about, {}, {.text = "one line for `rig list`"});
+  v.Whole32("members", members, {.text = "proxies", .least = 1, .most = 10000});
+  v.Whole32("zones", zones, {.text = "dealt out in turn", .least = 1, .most = 26});
+  v.Whole32("seeds", seeds, {.text = "members that all others ask first", .least = 1, .most = 100});
+  v.Number("length_s", length_s, {.text = "", .unit = "s", .least = 0.1, .most = 86400});
+  v.Number("start_spread_s", start_spread_s, {.text = "over which they start", .unit = "s", .most = 600});
+  v.Section("network", "In virtual time.", network);
+  v.Section("service", "With processes: what the proxies serve.", service);
+  v.Items("fault", "What befalls whom.", faults);
+  v.Items("property", "What has to hold.", properties);
+  v.Check("property", !properties.empty(), "a file that asks for nothing cannot fail");
+  for (const Fault& fault : faults) {
+    for (const auto* words : {&fault.who, &fault.to}) {
+      try {
+        Chosen(*this, *words, 1);
+      } catch (const std::invalid_argument& error) {
+        v.Check("fault", false, error.what());
+      }
+    }
+  }
+}
+
+Plan ReadPlan(const std::string& file) { return config::Read<Plan>(file); }
+
+std::vector<int> Chosen(const Plan& plan, const std::vector<std::string>& words, std::uint64_t seed) {
+  std::vector<bool> in(static_cast<std::size_t>(plan.members));
+  for (const std::string& word : words) {
+    const std::size_t dash = word.find('-');
+    bool any = false;
+    const auto take = [&](int number) { any = in[static_cast<std::size_t>(number)] = true; };
+    if (word == "all" || word == "seeds") {
+      for (int i = 0; i < (word == "all" ? plan.members : std::min(plan.seeds, plan.members)); ++i) take(i);
+    } else if (word.starts_with("zone:")) {
+      for (int i = 0; i < plan.members; ++i)
+        if (ZoneName(plan, i) == word.substr(5)) take(i);
+    } else if (word.starts_with("share:")) {
+      const double share = std::strtod(word.c_str() + 6, nullptr);
+      lab::Random random(seed, word);
+      std::vector<int> all;
+      for (int i = 0; i < plan.members; ++i) all.push_back(i);
+      const auto wanted = std::min(static_cast<double>(plan.members), share * plan.members + 0.5);
+      for (int n = 0; share > 0 && n < static_cast<int>(wanted); ++n) {
+        const std::size_t pick = random.Below(all.size());
+        take(all[pick]);
+        all[pick] = all.back();
+        all.pop_back();
+      }
+    } else if (dash != std::string::npos) {
+      const int first = NumberOf(plan, std::string_view(word).substr(0, dash));
+      const int last = NumberOf(plan, std::string_view(word).substr(dash + 1));
+      for (int i = first; first >= 0 && i <= last; ++i) take(i);
+    } else if (const int one = NumberOf(plan, word); one >= 0) {
+      take(one);
+    }
+    if (!any) throw std::invalid_argument("'" + word + "' names no member");
+  }
+  std::vector<int> chosen;
+  for (int i = 0; i < plan.members; ++i)
+    if (in[static_cast<std::size_t>(i)]) chosen.push_back(i);
+  return chosen;
+}
+
+double LastFaultOver(const Plan& plan) {
+  double over = plan.start_spread_s;
+  for (const Fault& fault : plan.faults) over = std::max(over, fault.at_s + fault.for_s);
+  return over;
+}
+
+}  // namespace copperpoint::rig
--- /dev/null
+++ b/src/rig/plan.h
@@ -0,0 +1,105 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// A file of the rig (lab/rig/*.toml): how many members, what befalls which of them when, and what has to
+// hold. The same file is played by processes and in virtual time.
+#ifndef COPPERPOINT_RIG_PLAN_H_
+#define COPPERPOINT_RIG_PLAN_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "config/schema.h"
+#include "view/options.h"
+
+namespace copperpoint::rig {
+
+enum class FaultKind {
+  kLoss,       // of datagrams, `amount` of them
+  kDelay,      // by `amount` ms more, and as much again by chance
+  kDuplicate,  // `amount` of the datagrams come twice
+  kReorder,    // `amount` of them come 1 to 50 ms later than they would
+  kCorrupt,    // `amount` of them have a bit turned
+  kCut,        // nothing passes, datagram or connection
+  kStop,       // the process stands still
+  kStarve,     // it stands still again and again, from `least_ms` to `most_ms` each time
+  kKill,       // it ends without a word, and is started again after `for_s` (0: never)
+  kLeave,      // it ends in good order; the same
+  kStart,      // it is started only now
+};
+
+struct Fault {
+  FaultKind kind = FaultKind::kKill;
+  double at_s = 0, for_s = 0;           // for_s 0: to the end
+  std::vector<std::string> who{"all"};  // links: the senders
+  std::vector<std::string> to;          // links: the receivers; none: all that are not in `who`
+  bool both = true;                     // links: the way back too
+  double amount = 1;
+  double least_ms = 200, most_ms = 2000;
+
+  bool OnLinks() const { return kind <= FaultKind::kCut; }
+  void Describe(config::Visitor& v);
+};
+
+enum class PropertyKind {
+  kSettlesWithin,  // after the last fault (or `after_s`) all living members have one view, the true one:
+                   // seconds
+  kKnownWithin,    // every end without a word is known to every member that lives on: seconds
+  kNeverRemoved,   // at most `bound` times a member was taken for dead that lived and could be reached
+  kBytesAtMost,  // a member's datagrams, each way, with 28 bytes of headers: bytes a second from `after_s` on
+  kServedAtLeast,  // share of the requests from `after_s` on that clients saw served (processes alone)
+  kRefusedSome,    // datagrams were refused, `bound` at least: the fault has worked
+};
+
+struct Property {
+  PropertyKind kind = PropertyKind::kSettlesWithin;
+  double bound = 0;
+  double after_s = -1;  // below 0: as the kind says
+
+  void Describe(config::Visitor& v);
+};
+
+struct Network {
+  double delay_ms = 0.3, jitter = 0.3, loss = 0;  // one way; in virtual time alone
+
+  void Describe(config::Visitor& v);
+};
+
+struct Service {
+  int backends = 6;
+  double work_ms = 10;
+  int slots = 8;
+  double rate = 100;  // requests a second over all proxies; 0: no clients
+
+  void Describe(config::Visitor& v);
+};
+
+struct Plan {
+  std::string about;
+  int members = 12, zones = 3, seeds = 3;  // the first `seeds` members are asked first by all
+  double length_s = 10;
+  double start_spread_s = 0.5;  // over which members start
+  Network network;
+  Service service;
+  std::vector<Fault> faults;
+  std::vector<Property> properties;
+
+  void Describe(config::Visitor& v);
+};
+
+Plan ReadPlan(const std::string& file);
+std::string NameOf(FaultKind kind);
+std::string NameOf(PropertyKind kind);
+std::string MemberName(int number);  // of the number-th, from 0
+std::string ZoneName(const Plan& plan, int number);
+
+// The members that words name: "all", "p3", "p3-p9", "zone:a", "seeds", "share:0.1" (drawn by the seed).
+// Throws std::invalid_argument on a word that names none.
+std::vector<int> Chosen(const Plan& plan, const std::vector<std::string>& words, std::uint64_t seed);
+
+// When the last fault is over.
+double LastFaultOver(const Plan& plan);
+
+}  // namespace copperpoint::rig
+
+#endif  // COPPERPOINT_RIG_PLAN_H_
--- /dev/null
+++ b/src/rig/virtual.cpp
@@ -0,0 +1,459 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "rig/virtual.h"
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+#include <unordered_map>
+#include <utility>
+
+#include "lab/core/queue.h"
+#include "lab/core/random.h"
+#include "rig/judge.h"
+#include "view/view.h"
+
+namespace copperpoint::rig {
+namespace {
+
+using lab::FromMs;
+using lab::Micros;
+using lab::Rank;
+using view::Time;
+
+constexpr char kCluster[] = "rig", kKey[] = "a key that only the rig has";
+constexpr double kExchangeRtts = 1.5;       // before the first frame is there
+constexpr Micros kExchangeLimit = 3000000;  // as the transport's
+
+double Seconds(Micros at) { return static_cast<double>(at) / 1e6; }
+
+class VirtualFleet {
+ public:
+  VirtualFleet(const Plan& plan, const VirtualOptions& options)
+      : plan_(plan),
+        options_(options),
+        random_(options.seed, "network"),
+        judge_(plan, options.seed, static_cast<double>(options.view.silence.count()) / 1e6),
+        nodes_(static_cast<std::size_t>(plan.members)) {}
+
+  Outcome Play();
+
+ private:
+  enum Kind : std::uint32_t {
+    kWake,
+    kDatagram,
+    kAsked,
+    kAnswered,
+    kBegin,
+    kEnd,
+    kStop,
+    kContinue,
+    kStart,
+    kSnapshot
+  };
+  struct Message {
+    int from = 0, to = 0;
+    std::uint64_t life = 0;  // of the process that it is for, where it is an answer
+    std::string bytes;
+  };
+  struct Node {
+    std::unique_ptr<view::View> view;
+    std::uint64_t life = 0;  // counts processes
+    bool stopped = false;
+    std::deque<std::pair<Kind, std::uint64_t>> waiting;  // what came while it stood still
+    Micros wake = lab::kNeverMicros;
+    std::uint64_t hash = 0;
+    bool counted = false;  // in `hashes_`
+    std::uint64_t out_before = 0, in_before = 0;
+    std::uint64_t sent = 0, received = 0, sent_bytes = 0, received_bytes = 0;  // of lives that are over
+  };
+  struct Link {
+    const Fault* fault;
+    std::vector<bool> who, whom;
+  };
+
+  Node& At(int member) { return nodes_[static_cast<std::size_t>(member)]; }
+  void Start(int member);
+  void End(int member, bool with_a_word);
+  void Run(const lab::Due& due);
+  void Deliver(Kind kind, std::uint64_t message);
+  void After(int member);
+  void Datagram(int from, const std::string& to, std::string bytes);
+  void Exchange(int from, const std::string& to, std::string bytes);
+  bool Passes(int from, int to, bool stream, double* more_ms, int* copies, std::string* bytes);
+  Micros Delay() { return FromMs(plan_.network.delay_ms * random_.Lognormal(1, plan_.network.jitter)); }
+  std::uint64_t Keep(Message message);
+  int MemberAt(const std::string& address) const {
+    const auto found = addresses_.find(address);
+    return found == addresses_.end() ? -1 : found->second;
+  }
+  void Recount(int member);
+  void BeginFault(std::size_t index);
+  void EndFault(std::size_t index);
+  void Snapshot(bool close);
+
+  const Plan& plan_;
+  const VirtualOptions& options_;
+  lab::Random random_;
+  lab::Queue queue_;
+  Judge judge_;
+  std::vector<Node> nodes_;
+  std::unordered_map<std::string, int> addresses_;
+  std::vector<std::string> seeds_;
+  std::vector<Message> messages_;
+  std::vector<std::uint64_t> free_;
+  std::vector<Link> links_;
+  std::vector<std::vector<int>> befalls_;  // by fault
+  std::unordered_map<std::uint64_t, int> hashes_;
+  int up_ = 0;
+  double rest_from_ = 0;
+  std::uint64_t events_ = 0, suspicions_ = 0, refutations_ = 0, healed_ = 0;
+  nlohmann::ordered_json timeline_ = nlohmann::ordered_json::array();
+  std::size_t last_views_ = 0;
+};
+
+std::uint64_t VirtualFleet::Keep(Message message) {
+  if (free_.empty()) {
+    messages_.push_back(std::move(message));
+    return messages_.size() - 1;
+  }
+  const std::uint64_t at = free_.back();
+  free_.pop_back();
+  messages_[at] = std::move(message);
+  return at;
+}
+
+void VirtualFleet::Start(int member) {
+  Node& node = At(member);
+  if (node.view) return;
+  ++node.life;
+  view::Record self;
+  self.set_name(MemberName(member));
+  self.set_address(MemberName(member) + ":1");
+  self.set_zone(ZoneName(plan_, member));
+  self.set_program("0.1.0");
+  self.set_state(static_cast<std::uint32_t>(view::State::kServing));
+  lab::Random draw(options_.seed, "member", static_cast<std::uint64_t>(member) << 20 | node.life);
+  node.view = std::make_unique<view::View>(options_.view, peers::Seal(kCluster, kKey), std::move(self),
+                                           draw.Bits(), Time(queue_.now()));
+  node.stopped = false;
+  node.wake = lab::kNeverMicros;
+  ++up_;
+  judge_.Started(Seconds(queue_.now()), member);
+  node.view->Join(Time(queue_.now()), seeds_);
+  After(member);
+}
+
+void VirtualFleet::End(int member, bool with_a_word) {
+  Node& node = At(member);
+  if (!node.view) return;
+  if (with_a_word) {
+    node.view->Leave(Time(queue_.now()));
+    for (auto& datagram : node.view->Take().datagrams)
+      Datagram(member, datagram.to, std::move(datagram.bytes));
+  }
+  const view::Counters& counters = node.view->counters();
+  node.sent += counters.sent;
+  node.received += counters.received;
+  node.sent_bytes += counters.sent_bytes;
+  node.received_bytes += counters.received_bytes;
+  for (std::size_t i = 1; i < counters.refused.size(); ++i) judge_.Refusals(counters.refused[i]);
+  node.view.reset();
+  for (const auto& [kind, message] : node.waiting) free_.push_back(message);
+  node.waiting.clear();
+  --up_;
+  Recount(member);
+  judge_.Ended(Seconds(queue_.now()), member, with_a_word);
+}
+
+// How many views there are among the living, and whether the one is true.
+void VirtualFleet::Recount(int member) {
+  Node& node = At(member);
+  const bool counts = node.view != nullptr;
+  const std::uint64_t hash = counts ? node.view->members().hash() : 0;
+  if (node.counted == counts && node.hash == hash) return;
+  if (node.counted && --hashes_[node.hash] == 0) hashes_.erase(node.hash);
+  if (counts) ++hashes_[hash];
+  node.counted = counts;
+  node.hash = hash;
+  const bool one =
+      hashes_.size() == 1 && counts && node.view->members().living().size() == static_cast<std::size_t>(up_);
+  judge_.Agreed(Seconds(queue_.now()), one);
+  if (options_.timeline && hashes_.size() != last_views_) {
+    last_views_ = hashes_.size();
+    timeline_.push_back({Seconds(queue_.now()), last_views_});
+  }
+}
+
+void VirtualFleet::After(int member) {
+  Node& node = At(member);
+  view::Output output = node.view->Take();
+  for (auto& datagram : output.datagrams) Datagram(member, datagram.to, std::move(datagram.bytes));
+  for (auto& exchange : output.exchanges) Exchange(member, exchange.to, std::move(exchange.bytes));
+  for (const view::Happened& event : output.events) {
+    ++events_;
+    suspicions_ += event.kind == view::Happened::Kind::kSuspected;
+    refutations_ += event.kind == view::Happened::Kind::kRefuted;
+    healed_ += event.kind == view::Happened::Kind::kHealed;
+    if (event.kind == view::Happened::Kind::kDead)
+      judge_.SaidDead(Seconds(queue_.now()), member, MemberAt(event.name + ":1"));
+  }
+  Recount(member);
+  const Time next = node.view->next();
+  if (next < Time(lab::kNeverMicros / 4) && next.count() < node.wake) {
+    node.wake = std::max<Micros>(next.count(), queue_.now() + 1);
+    queue_.Push(node.wake, Rank::kTimeout, kWake, static_cast<std::uint32_t>(member), node.life);
+  }
+}
+
+bool VirtualFleet::Passes(int from, int to, bool stream, double* more_ms, int* copies, std::string* bytes) {
+  if (!stream && random_.Chance(plan_.network.loss)) return false;
+  for (const Link& link : links_) {
+    const auto x = static_cast<std::size_t>(from), y = static_cast<std::size_t>(to);
+    if (!(link.who[x] && link.whom[y]) && !(link.fault->both && link.who[y] && link.whom[x])) continue;
+    const double amount = link.fault->amount;
+    switch (link.fault->kind) {
+      case FaultKind::kCut:
+        return false;
+      case FaultKind::kLoss:
+        if (amount >= 1 || (!stream && random_.Chance(amount))) return false;
+        break;
+      case FaultKind::kDelay:
+        *more_ms += amount * (1 + random_.Unit());
+        break;
+      case FaultKind::kDuplicate:
+        if (!stream && random_.Chance(amount)) ++*copies;
+        break;
+      case FaultKind::kReorder:
+        if (!stream && random_.Chance(amount)) *more_ms += random_.Between(1, 50);
+        break;
+      case FaultKind::kCorrupt:
+        if (!stream && random_.Chance(amount))
+          (*bytes)[random_.Below(bytes->size())] ^= 1 << random_.Below(8);
+        break;
+      default:
+        break;
+    }
+  }
+  return true;
+}
+
+void VirtualFleet::Datagram(int from, const std::string& to, std::string bytes) {
+  const int target = MemberAt(to);
+  double more_ms = 0;
+  int copies = 1;
+  if (target < 0 || !Passes(from, target, /*stream=*/false, &more_ms, &copies, &bytes)) return;
+  for (int i = 0; i < copies; ++i)
+    queue_.Push(queue_.now() + Delay() + FromMs(more_ms), Rank::kClient, kDatagram, 0,
+                Keep({from, target, 0, i + 1 < copies ? bytes : std::move(bytes)}));
+}
+
+void VirtualFleet::Exchange(int from, const std::string& to, std::string bytes) {
+  const int target = MemberAt(to);
+  double more_ms = 0;
+  int copies = 1;
+  if (target < 0 || !Passes(from, target, /*stream=*/true, &more_ms, &copies, &bytes) ||
+      !Passes(target, from, /*stream=*/true, &more_ms, &copies, &bytes))
+    return;
+  const auto delay = static_cast<Micros>(2 * kExchangeRtts * static_cast<double>(Delay()));
+  queue_.Push(queue_.now() + delay + FromMs(more_ms), Rank::kClient, kAsked, 0,
+              Keep({from, target, At(from).life, std::move(bytes)}));
+}
+
+void VirtualFleet::Deliver(Kind kind, std::uint64_t at) {
+  Message& message = messages_[at];
+  const int member = message.to;
+  Node& node = At(member);
+  if (!node.view) return free_.push_back(at);
+  if (node.stopped) {
+    node.waiting.emplace_back(kind, at);
+    return;
+  }
+  const Time now(queue_.now());
+  if (kind == kDatagram) {
+    node.view->OnDatagram(now, MemberName(message.from) + ":1", message.bytes);
+  } else if (kind == kAsked) {
+    std::string answer = node.view->OnExchange(now, message.bytes);
+    const int asker = message.from;
+    const std::uint64_t life = message.life;
+    if (!answer.empty())
+      queue_.Push(queue_.now() + Delay(), Rank::kClient, kAnswered, 0,
+                  Keep({member, asker, life, std::move(answer)}));
+  } else if (message.life == node.life) {
+    node.view->OnReply(now, message.bytes);
+  }
+  messages_[at].bytes.clear();
+  free_.push_back(at);
+  After(member);
+}
+
+void VirtualFleet::BeginFault(std::size_t index) {
+  const Fault& fault = plan_.faults[index];
+  const std::vector<int>& members = befalls_[index];
+  if (fault.OnLinks()) {
+    Link link{&fault, std::vector<bool>(nodes_.size()), std::vector<bool>(nodes_.size(), fault.to.empty())};
+    for (const int member : members) link.who[static_cast<std::size_t>(member)] = true;
+    const bool everywhere = members.size() == nodes_.size();
+    for (const int member : members)
+      link.whom[static_cast<std::size_t>(member)] = fault.to.empty() && everywhere;
+    for (const int member : Chosen(plan_, fault.to, options_.seed))
+      link.whom[static_cast<std::size_t>(member)] = true;
+    links_.push_back(std::move(link));
+    return;
+  }
+  for (const int member : members) {
+    switch (fault.kind) {
+      case FaultKind::kKill:
+        End(member, false);
+        break;
+      case FaultKind::kLeave:
+        End(member, true);
+        break;
+      case FaultKind::kStart:
+        Start(member);
+        break;
+      case FaultKind::kStop:
+        queue_.Push(queue_.now(), Rank::kNews, kStop, static_cast<std::uint32_t>(member), 0);
+        if (fault.for_s > 0)
+          queue_.Push(queue_.now() + FromMs(fault.for_s * 1000), Rank::kNews, kContinue,
+                      static_cast<std::uint32_t>(member), 0);
+        break;
+      default: {  // starve: stops and pauses as long as each other in the mean
+        const double until = fault.for_s > 0 ? fault.at_s + fault.for_s : plan_.length_s;
+        double at = fault.at_s + random_.Between(0, fault.most_ms) / 1000;
+        while (at < until) {
+          const double stop = random_.Between(fault.least_ms, fault.most_ms) / 1000;
+          queue_.Push(FromMs(at * 1000), Rank::kNews, kStop, static_cast<std::uint32_t>(member), 0);
+          queue_.Push(FromMs((at + stop) * 1000), Rank::kNews, kContinue, static_cast<std::uint32_t>(member),
+                      0);
+          at += stop + random_.Between(fault.least_ms, fault.most_ms) / 1000;
+        }
+      }
+    }
+  }
+}
+
+void VirtualFleet::EndFault(std::size_t index) {
+  const Fault& fault = plan_.faults[index];
+  std::erase_if(links_, [&](const Link& link) { return link.fault == &fault; });
+  if (fault.kind == FaultKind::kKill || fault.kind == FaultKind::kLeave)
+    for (const int member : befalls_[index]) Start(member);
+}
+
+void VirtualFleet::Snapshot(bool close) {
+  for (Node& node : nodes_) {
+    const view::Counters now = node.view ? node.view->counters() : view::Counters();
+    const std::uint64_t out = node.sent_bytes + now.sent_bytes + 28 * (node.sent + now.sent);
+    const std::uint64_t in = node.received_bytes + now.received_bytes + 28 * (node.received + now.received);
+    if (!close) {
+      node.out_before = out;
+      node.in_before = in;
+    } else if (const double span = plan_.length_s - rest_from_; span > 0) {
+      judge_.Bytes(static_cast<double>(out - node.out_before) / span,
+                   static_cast<double>(in - node.in_before) / span);
+    }
+  }
+}
+
+void VirtualFleet::Run(const lab::Due& due) {
+  const auto member = static_cast<int>(due.a);
+  switch (due.kind) {
+    case kWake: {
+      Node& node = At(member);
+      if (!node.view || node.life != due.b || node.wake != due.at) return;
+      if (node.stopped) return;  // it looks at its timers when it goes on
+      node.wake = lab::kNeverMicros;
+      if (node.view->next() <= Time(due.at)) node.view->OnTick(Time(due.at));
+      return After(member);
+    }
+    case kDatagram:
+    case kAsked:
+    case kAnswered:
+      return Deliver(static_cast<Kind>(due.kind), due.b);
+    case kBegin:
+      return BeginFault(due.b);
+    case kEnd:
+      return EndFault(due.b);
+    case kStart:
+      return Start(member);
+    case kStop:
+      if (At(member).view && !std::exchange(At(member).stopped, true))
+        judge_.Stopped(Seconds(due.at), member);
+      return;
+    case kContinue: {
+      Node& node = At(member);
+      if (!node.view || !std::exchange(node.stopped, false)) return;
+      judge_.Continued(Seconds(due.at), member);
+      // The oldest of what waits comes first, as out of a socket; time-outs of exchanges have passed.
+      auto waiting = std::exchange(node.waiting, {});
+      for (const auto& [kind, message] : waiting) {
+        if (node.view) Deliver(kind, message);
+      }
+      node.wake = lab::kNeverMicros;
+      node.view->OnTick(Time(due.at));
+      return After(member);
+    }
+    default:
+      return Snapshot(/*close=*/false);
+  }
+}
+
+Outcome VirtualFleet::Play() {
+  for (int i = 0; i < plan_.members; ++i) addresses_[MemberName(i) + ":1"] = i;
+  for (int i = 0; i < std::min(plan_.seeds, plan_.members); ++i) seeds_.push_back(MemberName(i) + ":1");
+  std::vector<bool> late(nodes_.size());
+  for (std::size_t i = 0; i < plan_.faults.size(); ++i) {
+    const Fault& fault = plan_.faults[i];
+    befalls_.push_back(Chosen(plan_, fault.who, options_.seed));
+    if (fault.kind == FaultKind::kStart)
+      for (const int member : befalls_[i]) late[static_cast<std::size_t>(member)] = true;
+    queue_.Push(FromMs(fault.at_s * 1000), Rank::kNews, kBegin, 0, i);
+    if (fault.for_s > 0 && fault.kind != FaultKind::kStop && fault.kind != FaultKind::kStarve)
+      queue_.Push(FromMs((fault.at_s + fault.for_s) * 1000), Rank::kNews, kEnd, 0, i);
+  }
+  for (int i = 0; i < plan_.members; ++i) {
+    if (!late[static_cast<std::size_t>(i)])
+      queue_.Push(FromMs(random_.Between(0, plan_.start_spread_s) * 1000), Rank::kNews, kStart,
+                  static_cast<std::uint32_t>(i), 0);
+  }
+  rest_from_ = LastFaultOver(plan_);
+  for (const Property& property : plan_.properties)
+    if (property.kind == PropertyKind::kBytesAtMost && property.after_s >= 0) rest_from_ = property.after_s;
+  queue_.Push(FromMs(rest_from_ * 1000), Rank::kNews, kSnapshot, 0, 0);
+
+  const Micros end = FromMs(plan_.length_s * 1000);
+  while (!queue_.empty()) {
+    const lab::Due due = queue_.Take();
+    if (due.at > end) break;
+    Run(due);
+  }
+  Snapshot(/*close=*/true);
+  std::uint64_t shed = 0;
+  int doubt = 0;
+  for (const Node& node : nodes_) {
+    if (!node.view) continue;
+    shed += node.view->news_shed();
+    doubt = std::max(doubt, node.view->doubt());
+    const auto& refused = node.view->counters().refused;
+    for (std::size_t i = 1; i < refused.size(); ++i) judge_.Refusals(refused[i]);
+  }
+  Judge::Verdict verdict = judge_.Close(plan_.length_s, /*with_service=*/false);
+  Outcome outcome{verdict.holds, std::move(verdict.json), std::move(verdict.story)};
+  outcome.json["seed"] = options_.seed;
+  outcome.json["members"] = plan_.members;
+  outcome.json["suspicions"] = suspicions_;
+  outcome.json["refutations"] = refutations_;
+  outcome.json["healed"] = healed_;
+  outcome.json["news_shed"] = shed;
+  outcome.json["most_doubt"] = doubt;
+  outcome.json["events"] = queue_.taken();
+  if (options_.timeline) outcome.json["views"] = std::move(timeline_);
+  return outcome;
+}
+
+}  // namespace
+
+Outcome PlayVirtual(const Plan& plan, const VirtualOptions& options) {
+  return VirtualFleet(plan, options).Play();
+}
+
+}  // namespace copperpoint::rig
--- /dev/null
+++ b/src/view/news.h
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What is still to be passed on, each claim a bounded number of times: those told least often go first, and
+// where there is no room the most told are left out. One claim a member: a newer one takes its place.
+#ifndef COPPERPOINT_VIEW_NEWS_H_
+#define COPPERPOINT_VIEW_NEWS_H_
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "message.pb.h"
+#include "view/options.h"
+
+namespace copperpoint::view {
+
+class News {
+ public:
+  explicit News(std::size_t most) : most_(most) {}
+
+  // `kind` tells apart what may be said of one member at the same time.
+  enum Kind { kClaim, kHeard, kAccuser };  // kAccuser + n: the n-th accuser of a suspect
+  void Tell(wire::Claim claim, Time now, int kind = kClaim);
+  void Tell(wire::Heard heard, Time now);
+  void Forget(const std::string& name);
+
+  // Fills `message` up to `most_bytes` of claims; each counts as told once more, and goes after `times`.
+  void Fill(wire::Message* message, std::size_t most_bytes, int times, Time now);
+
+  bool empty() const { return items_.empty(); }
+  std::size_t size() const { return items_.size(); }
+  std::size_t shed() const { return shed_; }
+
+ private:
+  using Key = std::pair<std::string, int>;
+  struct Item {
+    wire::Claim claim;
+    wire::Heard heard;
+    std::size_t bytes = 0;
+    int told = 0;
+    Time at{};
+  };
+  void Put(Key key, Item item);
+
+  std::size_t most_, shed_ = 0;
+  std::map<Key, Item> items_;
+  std::set<std::pair<int, Key>> by_told_;
+};
+
+}  // namespace copperpoint::view
+
+#endif  // COPPERPOINT_VIEW_NEWS_H_
--- /dev/null
+++ b/src/view/prober.h
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Whose turn it is to be probed, which probes are out, and how far this member trusts its own ears.
+//
+// Turns: all in a shuffled order, then a new order, so that each is probed once in as many periods as there
+// are members and a dead one is met after 1.6 periods in the mean (SWIM). Doubt (Lifeguard): a probe whose
+// helpers did not even answer "not yet" tells more of this member than of its target; each such probe
+// lengthens the member's own time-outs, each answer shortens them again.
+#ifndef COPPERPOINT_VIEW_PROBER_H_
+#define COPPERPOINT_VIEW_PROBER_H_
+
+#include <algorithm>
+#include <boost/random/taus88.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "view/options.h"
+
+namespace copperpoint::view {
+
+class Draw {
+ public:
+  explicit Draw(std::uint64_t seed) : engine_(static_cast<std::uint32_t>(seed ^ (seed >> 32)) | 4096) {}
+  std::size_t Below(std::size_t n) {
+    return boost::random::uniform_int_distribution<std::size_t>(0, n - 1)(engine_);
+  }
+  boost::random::taus88& engine() { return engine_; }
+
+ private:
+  boost::random::taus88 engine_;
+};
+
+struct Probe {
+  std::uint32_t id = 0;
+  std::string target;
+  std::uint32_t incarnation = 0;
+  Time sent{};
+  bool judging = false;  // of a suspect: it goes straight, again and again
+  bool helped = false;
+  int helpers = 0, nacks = 0;
+};
+
+class Prober {
+ public:
+  explicit Prober(const Options& options) : options_(options) {}
+
+  // The next of `names` whose turn it is; `names` is asked for when an order is used up.
+  template <typename Names>
+  std::string Next(Names names, Draw& draw) {
+    if (order_.empty()) {
+      order_ = names();
+      for (std::size_t i = order_.size(); i > 1; --i) std::swap(order_[i - 1], order_[draw.Below(i)]);
+    }
+    if (order_.empty()) return "";
+    std::string name = std::move(order_.back());
+    order_.pop_back();
+    return name;
+  }
+
+  Probe& Start(std::string target, std::uint32_t incarnation, Time now, bool judging) {
+    out_.push_back({++last_id_, std::move(target), incarnation, now, judging, false, 0, 0});
+    return out_.back();
+  }
+  std::vector<Probe>& out() { return out_; }
+  std::uint32_t NewId() { return ++last_id_; }
+
+  // Takes back the probe of that id; nullptr-like empty target if there is none (it was answered, or is
+  // over).
+  Probe Take(std::uint32_t id) {
+    const auto found = std::find_if(out_.begin(), out_.end(), [id](const Probe& p) { return p.id == id; });
+    if (found == out_.end()) return {};
+    Probe probe = std::move(*found);
+    out_.erase(found);
+    return probe;
+  }
+  void OnNack(std::uint32_t id) {
+    for (Probe& probe : out_) probe.nacks += probe.id == id;
+  }
+
+  void Answered() { health_ = std::max(0, health_ - 1); }
+  void Unanswered(const Probe& probe) {
+    if (options_.with_self_doubt && probe.nacks < probe.helpers)
+      health_ = std::min(options_.most_health, health_ + 1);
+  }
+  int health() const { return health_; }
+  Time Direct() const { return options_.direct * (1 + health_); }
+  Time Whole() const { return options_.period * (1 + health_); }
+  Time Whole(const Probe& probe) const { return probe.judging ? options_.period : Whole(); }
+
+ private:
+  const Options& options_;
+  std::vector<std::string> order_;
+  std::vector<Probe> out_;
+  std::uint32_t last_id_ = 0;
+  int health_ = 0;
+};
+
+}  // namespace copperpoint::view
+
+#endif  // COPPERPOINT_VIEW_PROBER_H_
--- /dev/null
+++ b/src/view/view.h
@@ -0,0 +1,187 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// One member's view of the fleet, kept by talk with the others alone (docs/view.md). No I/O, no clock, no
+// thread: time and messages come in, messages, exchanges and events go out. The proxy, the rig and the
+// laboratory host the same object.
+//
+// Sources: SWIM (Das, Gupta, Motivala 2002) for probes, suspicion, incarnations and piggyback; Lifeguard
+// (Dadgar, Phillips, Currey 2018) for doubt of oneself, confirmations and telling a suspect first; push-pull
+// anti-entropy (Demers and others 1987), here by hashes of buckets.
+#ifndef COPPERPOINT_VIEW_VIEW_H_
+#define COPPERPOINT_VIEW_VIEW_H_
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+#include <vector>
+
+#include "peers/frame.h"
+#include "view/members.h"
+#include "view/news.h"
+#include "view/options.h"
+#include "view/prober.h"
+#include "view/suspicions.h"
+
+namespace copperpoint::view {
+
+// Bytes for an address. An exchange is one frame there and one back, over TCP.
+struct Outgoing {
+  std::string to, bytes;
+};
+
+struct Happened {
+  enum class Kind {
+    kJoined,  // a member that was not known, or a new process of one that was
+    kSuspected,
+    kRefuted,  // a suspect has answered
+    kDead,
+    kLeft,
+    kHealed,     // one thought dead lives, in the same process
+    kNameTaken,  // another process has this member's name, and this one keeps silent from here on
+    kTooNew,     // a message in a format that this program cannot read
+  };
+  Kind kind = Kind::kJoined;
+  std::string name;  // kTooNew: the address
+  std::string by;    // who said so, where somebody did
+  Time silent{};     // kDead: since the last sign of life
+};
+const char* NameOf(Happened::Kind kind);
+
+struct Output {
+  std::vector<Outgoing> datagrams, exchanges;
+  std::vector<Happened> events;
+};
+
+struct Counters {
+  std::uint64_t sent = 0, sent_bytes = 0, received = 0, received_bytes = 0;  // datagrams
+  std::uint64_t exchanges = 0, exchanged_bytes = 0;                          // frames, both ways
+  std::array<std::uint64_t, peers::kRefusals> refused{};                     // by peers::Refusal
+  std::uint64_t replays = 0, older_lives = 0, misaddressed = 0, oversized = 0;
+};
+
+class View {
+ public:
+  // `self` has name, address, zone and versions; life and incarnation are drawn here from `seed`, which must
+  // be another one in each process. Throws std::invalid_argument if a field is too large for a message.
+  View(const Options& options, peers::Seal seal, Record self, std::uint64_t seed, Time now);
+
+  // Addresses of members to begin with; those that do not answer are asked again from time to time.
+  View(const View&) = delete;
+  View& operator=(const View&) = delete;
+
+  void Join(Time now, std::vector<std::string> seeds);
+  void OnDatagram(Time now, const std::string& from, std::string_view bytes);
+  std::string OnExchange(Time now, std::string_view frame);  // its answer; empty: none
+  void OnReply(Time now, std::string_view frame);            // to an exchange that this member began
+  void OnTick(Time now);
+  Time next() const;  // when OnTick is due, in the host's time
+
+  void SetState(Time now, State state);
+  // A value that this member publishes. False where it would not fit: the bag is bounded.
+  bool Publish(Time now, const std::string& key, const std::string& value);
+  // Says goodbye. From here on this member is silent.
+  void Leave(Time now);
+
+  // What is to be sent and told. To be called after each of the above, and before next().
+  Output Take();
+
+  const Members& members() const { return members_; }
+  const Record& self() const { return *members_[me_].record; }
+  bool established() const { return established_; }  // has met another, or found that it is alone
+  bool silent() const { return silent_; }
+  // Nobody is suspected, and the last members heard from, up to four of them, had the same view.
+  bool settled() const {
+    return established_ && !silent_ && suspicions_.size() == 0 && agreed_ >= Agreement();
+  }
+  int doubt() const { return prober_.health(); }
+  const Counters& counters() const { return counters_; }
+  std::size_t news_shed() const { return news_.shed(); }
+  const Suspicion* suspicion(int at) const { return const_cast<Suspicions&>(suspicions_).Find(at); }
+  Time own(Time now) const { return now - away_; }  // the time that `since` and `heard` are in
+
+ private:
+  struct Relay {  // a probe made for another
+    std::uint32_t id = 0, asker_probe = 0;
+    std::string asker, asker_address, target;
+    Time until{};
+  };
+
+  Time Enter(Time now);
+  int Agreement() const { return static_cast<int>(std::min<std::size_t>(4, members_.living().size() - 1)); }
+  void Change(std::shared_ptr<Record> self, Time now);  // of this member's own record
+  void Refute(std::uint32_t above, Time now);
+  void GoSilent();
+
+  // ---- view_messages.cpp ----
+  wire::Message Begin(wire::Kind kind);
+  void Send(wire::Message message, const std::string& to, int at, Time now);
+  void Gossip(Time now);
+  bool Admit(const wire::Message& message, const std::string& from, Time now);  // false: dropped
+  void OnRival(const wire::Message& message, const std::string& from, Time now);
+  void OnMessage(const wire::Message& message, const std::string& from, Time now);
+  void OnAck(const wire::Message& message, Time now);
+  void OnPingFor(const wire::Message& message, const std::string& from, Time now);
+  void Compare(const wire::Message& message, int at, Time now);
+
+  // ---- view_claims.cpp ----
+  void TakeClaims(const wire::Message& message, bool whole, Time now);
+  void Merge(const wire::Claim& claim, const std::string& from, bool whole, Time now);
+  void MergeAlive(const wire::Claim& claim, int at, Time now);
+  void MergeGone(const wire::Claim& claim, const std::string& by, bool whole, int at, Time now);
+  void OnOwnName(const wire::Claim& claim, Time now);
+  void Accuse(int at, const std::string& by, Time since, Time now);
+  void Heard(int at, Time when, Time now);
+  void Bury(int at, Status status, const std::string& by, std::uint32_t age_ms, Time now);
+  void Revive(int at, std::shared_ptr<const Record> record, Time now);
+  bool IsWitness(int at) const;
+  wire::Claim ClaimOf(int at, Time now) const;
+  bool Fits(const Record& record) const;
+  void Retire(std::uint64_t life);
+  void Tell(Happened::Kind kind, const std::string& name, const std::string& by = "", Time silent = {});
+
+  // ---- view_sync.cpp ----
+  void Sync(const std::string& address, Time now);
+  std::string AnswerSync(const wire::Message& message, Time now);
+
+  // ---- view_probes.cpp ----
+  void ProbeNext(Time now);
+  void Ask(int at, bool judging, Time now);
+  void LookAfterProbes(Time now);
+  void Judge(Time now);
+  void AskTheDead(Time now);
+  void AskSeeds(Time now);
+  void ForgetOld(Time now);
+
+  const Options options_;
+  peers::Seal seal_;
+  Draw draw_;
+  Members members_;
+  int me_;
+  std::uint64_t life_;
+  News news_;
+  Prober prober_;
+  Suspicions suspicions_;
+  std::vector<Relay> relays_;
+  std::vector<std::string> seeds_;
+  std::deque<std::uint64_t> retired_order_;
+  std::unordered_set<std::uint64_t> retired_;  // lives that have ended: nothing more is taken from them
+  bool established_ = false, silent_ = false;
+  int agreed_ = 0;
+  std::uint32_t sequence_ = 0;
+  Time away_{};  // for which this process stood still, all told
+  Time next_probe_, next_gossip_, next_retry_, next_seed_, next_sweep_, next_sync_, next_refusal_,
+      next_judgement_, changed_;
+  Time alone_at_;            // without an answer of any seed by then, this member is the first
+  Time entered_, expected_;  // in the host's time: the last call, and the wake that is due next
+  Time rival_until_{};       // 0: no other process is said to have this name
+  std::uint32_t rival_incarnation_ = 0;
+  Output output_;
+  Counters counters_;
+};
+
+}  // namespace copperpoint::view
+
+#endif  // COPPERPOINT_VIEW_VIEW_H_
--- /dev/null
+++ b/src/view/view_messages.cpp
@@ -0,0 +1,227 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Messages in and out: who may be listened to, and what each kind asks for.
+#include <algorithm>
+#include <utility>
+
+#include "view/view.h"
+
+namespace copperpoint::view {
+namespace {
+
+constexpr Time kRefusals = std::chrono::seconds(1);  // at most one answer to what we cannot read in so long
+constexpr std::size_t kReserve = 16;                 // bytes of a datagram that no claim may take
+constexpr std::size_t kMostRelays = 256;
+constexpr std::size_t kMostTooNew = 64;
+
+int Retransmissions(std::size_t n, int factor) {
+  int digits = 1;
+  for (; n >= 10; n /= 10) ++digits;
+  return factor * digits;
+}
+
+}  // namespace
+
+wire::Message View::Begin(wire::Kind kind) {
+  wire::Message message;
+  message.set_kind(kind);
+  message.set_from(self().name());
+  message.set_life(life_);
+  message.set_incarnation(self().incarnation());
+  message.set_sequence(++sequence_);
+  message.set_view_hash(members_.hash());
+  return message;
+}
+
+// To the member at `at`, where it is known. One that is suspected or thought dead is told so before all else.
+void View::Send(wire::Message message, const std::string& to, int at, Time now) {
+  if (at != Members::kNone) {
+    const Entry& entry = members_[at];
+    message.set_to_life(entry.record->life());
+    if (entry.status != Status::kAlive) *message.add_claims() = ClaimOf(at, now);
+  }
+  const std::size_t used = peers::kHeader + message.ByteSizeLong() + kReserve;
+  if (used < peers::kMostDatagram && message.to_life() != 0)
+    news_.Fill(&message, peers::kMostDatagram - used,
+               Retransmissions(members_.living().size(), options_.retransmit), now);
+  std::string bytes = seal_.Close(message);
+  ++counters_.sent;
+  counters_.sent_bytes += bytes.size();
+  output_.datagrams.push_back({to, std::move(bytes)});
+}
+
+void View::Gossip(Time now) {
+  next_gossip_ = now + options_.gossip;
+  const auto& living = members_.living();
+  std::vector<int> told{me_};
+  for (int i = 0; i < options_.fanout && told.size() < living.size() && !news_.empty(); ++i) {
+    int at = living[draw_.Below(living.size())];
+    while (std::find(told.begin(), told.end(), at) != told.end()) at = living[draw_.Below(living.size())];
+    told.push_back(at);
+    Send(Begin(wire::KIND_GOSSIP), members_[at].record->address(), at, now);
+  }
+}
+
+void View::OnDatagram(Time now, const std::string& from, std::string_view bytes) {
+  if (silent_) return;
+  now = Enter(now);
+  ++counters_.received;
+  counters_.received_bytes += bytes.size();
+  if (bytes.size() > peers::kMostDatagram) {
+    ++counters_.oversized;
+    return;
+  }
+  wire::Message message;
+  const peers::Refusal refusal = seal_.Open(bytes, &message);
+  if (refusal != peers::Refusal::kNone) {
+    ++counters_.refused[static_cast<std::size_t>(refusal)];
+    if (refusal == peers::Refusal::kTooNew && now >= next_refusal_) {
+      next_refusal_ = now + kRefusals;
+      wire::Message answer = Begin(wire::KIND_TOO_NEW);
+      answer.set_speaks(peers::kVersion);
+      Send(std::move(answer), from, Members::kNone, now);
+      Tell(Happened::Kind::kTooNew, from);
+    }
+    return;
+  }
+  if (Admit(message, from, now)) OnMessage(message, from, now);
+}
+
+// Nothing is taken from an older life, nothing twice, and nothing about others that was said to an older life
+// of this member.
+bool View::Admit(const wire::Message& message, const std::string& from, Time now) {
+  if (message.from() == self().name()) {
+    if (message.life() != life_) OnRival(message, from, now);
+    return false;
+  }
+  if (retired_.contains(message.life())) {
+    ++counters_.replays;
+    return false;
+  }
+  const int at = members_.Find(message.from());
+  if (at == Members::kNone) {
+    if (now >= next_sync_ && message.kind() == wire::KIND_PING) Sync(from, now);
+    return true;
+  }
+  Entry& entry = members_.Mutable(at);
+  if (entry.record->life() != message.life()) {
+    if (!Before(message.incarnation(), message.life(), entry.record->incarnation(), entry.record->life())) {
+      ++counters_.older_lives;
+      if (now >= next_refusal_) {  // a living one learns that its name is another's
+        next_refusal_ = now + kRefusals;
+        wire::Message answer = Begin(wire::KIND_GOSSIP);
+        *answer.add_claims() = ClaimOf(at, now);
+        answer.set_to_life(message.life());
+        Send(std::move(answer), from, Members::kNone, now);
+      }
+      return false;
+    }
+    if (now >= next_sync_) Sync(from, now);
+    return true;
+  }
+  const auto ahead = static_cast<std::int32_t>(message.sequence() - entry.last_sequence);
+  if (ahead > 0) {
+    entry.seen = ahead >= 64 ? 0 : entry.seen << ahead;
+    entry.seen |= 1;
+    entry.last_sequence = message.sequence();
+  } else if (ahead <= -64 || (entry.seen >> -ahead & 1) != 0) {
+    ++counters_.replays;
+    return false;
+  } else {
+    entry.seen |= std::uint64_t{1} << -ahead;
+  }
+  if (entry.living()) {
+    if (Later(message.incarnation(), entry.record->incarnation()))
+      Revive(at, WithIncarnation(*entry.record, message.incarnation()), now);
+    Heard(at, now, now);
+  } else if (entry.status == Status::kDead && now >= next_sync_) {
+    Sync(entry.record->address(), now);  // it lives: what each of us missed is told at once
+  }
+  return true;
+}
+
+// Another process under this member's name. The one whose claim goes before keeps it; one that has only just
+// started takes it over, as after a restart.
+void View::OnRival(const wire::Message& message, const std::string& from, Time now) {
+  if (Before(message.incarnation(), message.life(), self().incarnation(), life_)) {
+    if (!established_) return Refute(message.incarnation(), now);
+    Tell(Happened::Kind::kNameTaken, self().name(), from);
+    return GoSilent();
+  }
+  if (now < next_refusal_) return;
+  next_refusal_ = now + kRefusals;
+  Send(Begin(wire::KIND_PING), from, Members::kNone, now);
+}
+
+void View::OnMessage(const wire::Message& message, const std::string& from, Time now) {
+  const bool to_me = message.to_life() == life_;
+  if (!to_me && message.to_life() != 0) ++counters_.misaddressed;
+  if (to_me) TakeClaims(message, /*whole=*/false, now);
+  const int at = members_.Find(message.from());
+  const std::string& address = at == Members::kNone ? from : members_[at].record->address();
+  switch (message.kind()) {
+    case wire::KIND_PING: {
+      wire::Message ack = Begin(wire::KIND_ACK);
+      ack.set_probe(message.probe());
+      Send(std::move(ack), address, at, now);
+      break;
+    }
+    case wire::KIND_ACK:
+      OnAck(message, now);
+      break;
+    case wire::KIND_PING_FOR:
+      if (to_me) OnPingFor(message, address, now);
+      break;
+    case wire::KIND_NACK:
+      prober_.OnNack(message.probe());
+      break;
+    default:
+      break;
+  }
+  if (!silent_ && at != Members::kNone) Compare(message, at, now);
+}
+
+void View::OnAck(const wire::Message& message, Time now) {
+  if (const auto relay = std::find_if(relays_.begin(), relays_.end(),
+                                      [&](const Relay& r) { return r.id == message.probe(); });
+      relay != relays_.end() && relay->target == message.from()) {
+    wire::Message ack = Begin(wire::KIND_ACK);
+    ack.set_probe(relay->asker_probe);
+    ack.set_target(relay->target);
+    const int asker = members_.Find(relay->asker);
+    const std::string address = relay->asker_address;
+    relays_.erase(relay);
+    return Send(std::move(ack), address, asker, now);
+  }
+  const Probe probe = prober_.Take(message.probe());
+  if (probe.target.empty()) return;
+  prober_.Answered();
+  // Through another: the target spoke to it, not to us.
+  if (!message.target().empty() && message.target() == probe.target) {
+    if (const int at = members_.Find(probe.target); at != Members::kNone && members_[at].living())
+      Heard(at, now, now);
+  }
+}
+
+void View::OnPingFor(const wire::Message& message, const std::string& from, Time now) {
+  const int at = members_.Find(message.target());
+  if (at == Members::kNone || at == me_ || relays_.size() >= kMostRelays) return;
+  const std::uint32_t id = prober_.NewId();
+  relays_.push_back({id, message.probe(), message.from(), from, message.target(), now + options_.direct});
+  wire::Message ping = Begin(wire::KIND_PING);
+  ping.set_probe(id);
+  Send(std::move(ping), members_[at].record->address(), at, now);
+}
+
+// Whoever differs for a while without news is asked for all that differs.
+void View::Compare(const wire::Message& message, int at, Time now) {
+  if (!members_[at].living() || message.view_hash() == 0) return;
+  if (message.view_hash() == members_.hash()) {
+    agreed_ = std::min(4, agreed_ + 1);
+    return;
+  }
+  agreed_ = 0;
+  if (now - changed_ >= options_.quiet && now >= next_sync_) Sync(members_[at].record->address(), now);
+}
+
+}  // namespace copperpoint::view
--- /dev/null
+++ b/src/view/view_probes.cpp
@@ -0,0 +1,116 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Probes: whom to ask, and what an answer that does not come means.
+#include <algorithm>
+#include <utility>
+
+#include "view/view.h"
+
+namespace copperpoint::view {
+
+void View::ProbeNext(Time now) {
+  const auto names = [this] {
+    std::vector<std::string> all;
+    all.reserve(members_.living().size());
+    for (const int at : members_.living())
+      if (at != me_) all.push_back(members_[at].record->name());
+    return all;
+  };
+  // Those gone since the order was drawn are passed over; each order is walked once at most.
+  for (std::size_t i = 0; i <= members_.living().size(); ++i) {
+    const std::string name = prober_.Next(names, draw_);
+    if (name.empty()) return;
+    const int at = members_.Find(name);
+    if (at == Members::kNone || !members_[at].living()) continue;
+    return Ask(at, /*judging=*/false, now);
+  }
+}
+
+void View::Ask(int at, bool judging, Time now) {
+  const Entry& entry = members_[at];
+  wire::Message ping = Begin(wire::KIND_PING);
+  ping.set_probe(prober_.Start(entry.record->name(), entry.record->incarnation(), now, judging).id);
+  Send(std::move(ping), entry.record->address(), at, now);
+}
+
+void View::LookAfterProbes(Time now) {
+  std::vector<Probe> over;
+  std::vector<std::uint32_t> to_help;
+  for (Probe& probe : prober_.out()) {
+    if (now >= probe.sent + prober_.Whole(probe)) {
+      over.push_back(probe);
+    } else if (!probe.judging && !probe.helped && now >= probe.sent + prober_.Direct()) {
+      probe.helped = true;
+      if (options_.with_helpers) to_help.push_back(probe.id);
+    }
+  }
+  for (const std::uint32_t id : to_help) {
+    auto& out = prober_.out();
+    Probe& probe = *std::find_if(out.begin(), out.end(), [id](const Probe& p) { return p.id == id; });
+    const int target = members_.Find(probe.target);
+    std::vector<int> others;
+    for (const int at : members_.living())
+      if (at != me_ && at != target && members_[at].status == Status::kAlive) others.push_back(at);
+    for (; probe.helpers < options_.helpers && !others.empty(); ++probe.helpers) {
+      const std::size_t pick = draw_.Below(others.size());
+      wire::Message message = Begin(wire::KIND_PING_FOR);
+      message.set_probe(id);
+      message.set_target(probe.target);
+      Send(std::move(message), members_[others[pick]].record->address(), others[pick], now);
+      others[pick] = others.back();
+      others.pop_back();
+    }
+  }
+  for (const Probe& probe : over) {
+    prober_.Take(probe.id);
+    if (!probe.judging) prober_.Unanswered(probe);
+    const int at = members_.Find(probe.target);
+    if (at == Members::kNone || !members_[at].living()) continue;
+    const Entry& entry = members_[at];
+    if (entry.record->incarnation() != probe.incarnation || entry.heard >= probe.sent) continue;
+    Accuse(at, self().name(), probe.sent, now);
+    if (Suspicion* suspicion = suspicions_.Find(at)) suspicion->judge = true;
+  }
+  std::erase_if(relays_, [&](const Relay& relay) {
+    if (now < relay.until) return false;
+    wire::Message nack = Begin(wire::KIND_NACK);
+    nack.set_probe(relay.asker_probe);
+    Send(std::move(nack), relay.asker_address, members_.Find(relay.asker), now);
+    return true;
+  });
+}
+
+void View::Judge(Time now) {
+  next_judgement_ = now + options_.period / 4;
+  std::vector<int> over;
+  const std::size_t living = members_.living().size();
+  const std::size_t healthy = living - std::min(living, suspicions_.size());
+  for (auto& [at, suspicion] : suspicions_.all()) {
+    if (suspicions_.Over(suspicion, members_[at].heard, healthy, now)) {
+      over.push_back(at);
+    } else if (suspicion.judge && now - suspicion.asked >= options_.period) {
+      suspicion.asked = now;
+      Ask(at, /*judging=*/true, now);
+    }
+  }
+  for (const int at : over) {
+    Bury(at, Status::kDead, self().name(), 0, now);
+    next_gossip_ = now;
+  }
+}
+
+// So that halves of a fleet find each other again: whoever answers is no longer dead.
+void View::AskTheDead(Time now) {
+  int chosen = Members::kNone;
+  std::size_t seen = 0;
+  members_.Each([&](int at, const Entry& entry) {
+    if (entry.status == Status::kDead && !entry.record->address().empty() && draw_.Below(++seen) == 0)
+      chosen = at;
+  });
+  if (chosen == Members::kNone) return;
+  wire::Message ping = Begin(wire::KIND_PING);
+  ping.set_probe(prober_.NewId());
+  Send(std::move(ping), members_[chosen].record->address(), chosen, now);
+}
+
+}  // namespace copperpoint::view
