--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -14,6 +14,7 @@
   kDone = 0,
   kFault = 1,  // the run found a fault or a broken rule, or could not go on
   kUsage = 2,  // wrong usage or configuration
+  kVoid = 3,   // the rig itself was late: the run says nothing
 };
 
 // A result's file. Throws std::runtime_error if it cannot be written.
--- a/src/cli/rig.cpp
+++ b/src/cli/rig.cpp
@@ -13,16 +13,20 @@
 
 #include "cli/commands.h"
 #include "rig/plan.h"
+#include "rig/processes/play.h"
 #include "rig/virtual.h"
 
 namespace copperpoint::cli {
 namespace {
 
+constexpr int kMostProcesses = 100;
+
 struct RigOptions {
   std::string file, json, folder = "lab/rig";
   std::uint64_t seed = 1;
   int seeds = 1, members = 0, threads = 0;
-  bool in_virtual_time = false;
+  bool in_virtual_time = false, alone = false;
+  std::string logs;
   std::vector<std::string> without;
 };
 
@@ -99,10 +103,37 @@
   return failed ? kFault : kDone;
 }
 
+int RunProcesses(const RigOptions& options, const rig::Plan& plan) {
+  if (plan.members > kMostProcesses)
+    throw std::invalid_argument(options.file + ": " + std::to_string(plan.members) +
+                                " members; at most 100 are played as processes (--members, --virtual)");
+  if (options.seeds != 1) throw std::invalid_argument("--seeds goes with --virtual");
+  rig::ProcessOptions run;
+  run.program = std::filesystem::read_symlink("/proc/self/exe").string();
+  run.logs = options.logs;
+  run.seed = options.seed;
+  run.sharing = !options.alone;
+  const rig::ProcessOutcome result = rig::PlayProcesses(plan, run);
+  if (!options.json.empty()) Write(options.json, result.outcome.json.dump(1) + '\n');
+  if (result.interrupted) {
+    std::cout << options.file << ": interrupted\n";
+    return kFault;
+  }
+  for (const auto& property : result.outcome.json["properties"]) std::cout << property.dump() << '\n';
+  if (result.is_void) {
+    std::cout << options.file << ": void, the rig itself was late by "
+              << result.outcome.json["rig_late_ms"].get<double>() << " ms\n";
+    return kVoid;
+  }
+  std::cout << options.file << ": " << (result.outcome.holds ? "holds" : "does not hold") << '\n';
+  Tell(options, options.seed, result.outcome);
+  return result.outcome.holds ? kDone : kFault;
+}
+
 int RunRig(const RigOptions& options) {
   rig::Plan plan = rig::ReadPlan(options.file);
   if (options.members > 0) plan.members = options.members;
-  return RunVirtual(options, plan);
+  return options.in_virtual_time ? RunVirtual(options, plan) : RunProcesses(options, plan);
 }
 
 void ListRig(const std::string& folder) {
@@ -135,6 +166,8 @@
   run->add_option("--without", options->without, "A part of the view switched off, to see what it is worth")
       ->check(CLI::IsMember({"suspicion", "doubt", "helpers", "sync"}));
   run->add_flag("--virtual", options->in_virtual_time, "In virtual time, with the same protocol objects");
+  run->add_flag("--alone", options->alone, "Processes that know nothing of each other, for comparison");
+  run->add_option("--logs", options->logs, "Keep the members' logs in this folder");
   run->add_option("--json", options->json, "Write the result here");
   run->callback([options, exit_code] { *exit_code = RunRig(*options); });
   CLI::App* list = group->add_subcommand("list", "The files of the rig, a line each");
--- a/src/proxy/config/config.h
+++ b/src/proxy/config/config.h
@@ -41,6 +41,8 @@
   Patience patience;
   Shares shares;
   Upgrade upgrade;
+  FleetSettings fleet;
+  std::string settings_version;  // of the operator's file, for the others of the fleet; empty: none
   MemberList known;
 };
 
--- a/src/proxy/config/operating.cpp
+++ b/src/proxy/config/operating.cpp
@@ -19,8 +19,8 @@
     copperpoint config reference                         # this page
 
 Unknown keys, wrong types and values out of range are refused, all of them at once, and the program does not start.
-On SIGHUP the file is read again: `log` and `patience` take effect at once, `shares` and `upgrade` from the next start
-on. A file that is refused then leaves the old values in force, and the log has an event `configuration_refused` for
+On SIGHUP the file is read again: `log` and `patience` take effect at once, `shares`, `upgrade` and `fleet` from the next
+start on. A file that is refused then leaves the old values in force, and the log has an event `configuration_refused` for
 each fault.
 )";
 
@@ -88,6 +88,7 @@
   v.Section("patience", "How long things are waited for.", patience);
   v.Section("shares", "How the means that the platform allows are divided.", shares);
   v.Section("upgrade", "While another process of the same proxy still serves.", upgrade);
+  v.Section("fleet", "Talk with the other proxies (docs/view.md): a view of the fleet that they keep by themselves. Off without it.", fleet);
 }
 
 std::string ConfigurationPage() {
--- a/src/proxy/config/operating.h
+++ b/src/proxy/config/operating.h
@@ -12,6 +12,7 @@
 
 #include "config/schema.h"
 #include "log/log.h"
+#include "proxy/fleet/settings.h"
 
 namespace copperpoint::proxy {
 
@@ -57,6 +58,7 @@
   Patience patience;
   Shares shares;
   Upgrade upgrade;
+  FleetSettings fleet;
 
   void Describe(config::Visitor& v);
 };
--- a/src/proxy/control/operator.cpp
+++ b/src/proxy/control/operator.cpp
@@ -103,12 +103,17 @@
   const std::string_view path = target.substr(0, mark);
   const std::string_view query = mark == std::string_view::npos ? "" : target.substr(mark + 1);
 
-  const bool reads = path == "/ready";
+  const bool reads = path == "/ready" || path == "/fleet";
   const bool takes_member = path == "/backends/disable" || path == "/backends/enable";
   if (!reads && !takes_member && path != "/drain" && path != "/undrain")
     return {http::status::not_found, "no such call"};
   if (head.method() != (reads ? http::verb::get : http::verb::post))
     return {http::status::method_not_allowed, reads ? "use GET" : "use POST"};
+  if (path == "/fleet") {
+    const std::string fleet = calls.Fleet();
+    if (fleet.empty()) return {http::status::not_found, "this proxy is in no fleet"};
+    return {http::status::ok, fleet};
+  }
   if (reads) return {calls.Ready() ? http::status::ok : http::status::service_unavailable, calls.StateName()};
   if (path == "/drain") return Word(calls.Drain(), "draining");
   if (path == "/undrain") return Word(calls.Undrain(), "serving again");
--- a/src/proxy/control/operator.h
+++ b/src/proxy/control/operator.h
@@ -26,6 +26,7 @@
   virtual Verdict Enable(const std::string& backend) = 0;
   virtual Verdict Drain() = 0;
   virtual Verdict Undrain() = 0;
+  virtual std::string Fleet() const { return ""; }  // as JSON; empty: this proxy talks to no other
 };
 
 class Operator {
--- /dev/null
+++ b/src/proxy/fleet/host.cpp
@@ -0,0 +1,213 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "proxy/fleet/host.h"
+
+#include <sys/stat.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "config/read.h"
+#include "log/log.h"
+#include "proxy/clock.h"
+#include "proxy/config/config.h"
+
+namespace copperpoint::proxy {
+namespace {
+
+constexpr std::chrono::milliseconds kAddressAgain{200};
+
+peers::Seal SealOf(const FleetSettings& settings) {
+  struct stat about {};
+  if (::stat(settings.key_file.c_str(), &about) != 0)
+    throw BadConfig(settings.key_file + ": fleet.key_file cannot be read");
+  if ((about.st_mode & 0077) != 0)
+    throw BadConfig(settings.key_file + ": fleet.key_file may be read by others; its mode has to be 0600");
+  std::string key = config::Contents(settings.key_file);
+  while (!key.empty() && (key.back() == '\n' || key.back() == '\r')) key.pop_back();
+  try {
+    return peers::Seal(settings.cluster, key);
+  } catch (const std::invalid_argument& error) {
+    throw BadConfig(settings.key_file + ": fleet.key_file: " + error.what());
+  }
+}
+
+std::vector<std::string> SeedsOf(const FleetSettings& settings) {
+  std::vector<std::string> seeds = settings.seeds;
+  if (settings.seeds_file.empty()) return seeds;
+  const std::string text = config::Contents(settings.seeds_file);
+  int number = 0;
+  for (std::size_t from = 0; from < text.size();) {
+    const std::size_t end = std::min(text.find('\n', from), text.size());
+    const std::string line = text.substr(from, end - from);
+    from = end + 1;
+    ++number;
+    if (line.empty() || line.front() == '#') continue;
+    boost::asio::ip::udp::endpoint parsed;
+    if (!peers::ParseAddress(line, &parsed))
+      throw BadConfig(settings.seeds_file + ":" + std::to_string(number) + ": '" + line +
+                      "' is no ADDRESS:PORT");
+    seeds.push_back(line);
+  }
+  return seeds;
+}
+
+view::Record RecordOf(const FleetSettings& settings, const FleetSelf& self) {
+  view::Record record;
+  record.set_name(self.name);
+  record.set_address(settings.advertise.empty() ? settings.listen : settings.advertise);
+  record.set_zone(self.zone);
+  record.set_program(self.program);
+  record.set_settings(self.settings);
+  return record;
+}
+
+boost::asio::ip::udp::endpoint Listen(const FleetSettings& settings) {
+  boost::asio::ip::udp::endpoint listen;
+  if (!peers::ParseAddress(settings.listen, &listen) || listen.port() == 0)
+    throw BadConfig("fleet.listen is no ADDRESS:PORT: '" + settings.listen + "'");
+  return listen;
+}
+
+}  // namespace
+
+view::Time FleetHost::Now() {
+  return std::chrono::duration_cast<view::Time>(Steady::now().time_since_epoch());
+}
+
+FleetHost::FleetHost(boost::asio::io_context& io, const FleetSettings& settings, const FleetSelf& self,
+                     std::uint64_t seed) try
+    : io_(io),
+      listen_(Listen(settings)),
+      cluster_(settings.cluster),
+      seeds_(SeedsOf(settings)),
+      view_(view::Options(), SealOf(settings), RecordOf(settings, self), seed, Now()),
+      timer_(io) {
+  Open();
+} catch (const std::invalid_argument& error) {
+  throw BadConfig(std::string("fleet: ") + error.what());
+}
+
+void FleetHost::Open() {
+  peers::Transport::Handlers handlers;
+  handlers.datagram = [this](const std::string& from, std::string_view bytes) {
+    view_.OnDatagram(Now(), from, bytes);
+    Flush();
+  };
+  handlers.asked = [this](std::string_view frame) {
+    std::string answer = view_.OnExchange(Now(), frame);
+    Flush();
+    return answer;
+  };
+  handlers.answered = [this](std::string_view frame) {
+    view_.OnReply(Now(), frame);
+    Flush();
+  };
+  try {
+    transport_ = std::make_unique<peers::Transport>(io_, listen_, std::move(handlers));
+  } catch (const boost::system::system_error& error) {
+    if (error.code() != boost::asio::error::address_in_use) throw;
+    if (!std::exchange(told_waiting_, true))
+      log::Global().Info("fleet_waits_for_address", {{"address", peers::TextOf(listen_)}});
+    timer_.expires_after(kAddressAgain);
+    timer_.async_wait([this](const boost::system::error_code& cancelled) {
+      if (!cancelled) Open();
+    });
+    return;
+  }
+  log::Global().Info("fleet_member", {{"cluster", cluster_}, {"address", view_.self().address()}});
+  view_.Join(Now(), seeds_);
+  Flush();
+}
+
+void FleetHost::Flush() {
+  view::Output output = view_.Take();
+  if (transport_) {
+    for (const view::Outgoing& datagram : output.datagrams) transport_->Send(datagram.to, datagram.bytes);
+    for (view::Outgoing& exchange : output.exchanges)
+      transport_->Exchange(exchange.to, std::move(exchange.bytes));
+  }
+  for (const view::Happened& event : output.events) {
+    const std::string name = std::string("fleet_") + view::NameOf(event.kind);
+    const bool grave = event.kind == view::Happened::Kind::kNameTaken;
+    log::Global().Write(grave ? log::Level::kError : log::Level::kInfo, name,
+                        {{"member", event.name},
+                         {"by", event.by},
+                         {"silent_ms", static_cast<double>(event.silent.count()) / 1000}});
+  }
+  Arm();
+}
+
+void FleetHost::Arm() {
+  if (!transport_ || view_.silent()) return;
+  timer_.expires_at(Steady::time_point(view_.next()));
+  timer_.async_wait([this](const boost::system::error_code& cancelled) {
+    if (cancelled) return;
+    view_.OnTick(Now());
+    Flush();
+  });
+}
+
+void FleetHost::SetState(view::State state) {
+  view_.SetState(Now(), state);
+  Flush();
+}
+
+void FleetHost::Leave() {
+  if (std::exchange(left_, true)) return;
+  view_.Leave(Now());
+  Flush();
+  transport_.reset();
+  timer_.cancel();
+}
+
+std::string FleetHost::Json() const {
+  const view::Record& self = view_.self();
+  const view::Time now = view_.own(Now());
+  const auto millis = [](view::Time time) { return time.count() / 1000; };
+  nlohmann::ordered_json json{{"cluster", cluster_},           {"name", self.name()},
+                              {"address", self.address()},     {"incarnation", self.incarnation()},
+                              {"life", log::Hex(self.life())}, {"speaks", transport_ && !view_.silent()},
+                              {"settled", view_.settled()},    {"view", log::Hex(view_.members().hash())},
+                              {"doubt", view_.doubt()}};
+  auto& members = json["members"] = nlohmann::ordered_json::array();
+  view_.members().Each([&](int at, const view::Entry& entry) {
+    const view::Record& record = *entry.record;
+    nlohmann::ordered_json member{{"name", record.name()},
+                                  {"status", view::NameOf(entry.status)},
+                                  {"status_ms", millis(now - entry.since)},
+                                  {"heard_ms", record.name() == self.name() ? 0 : millis(now - entry.heard)},
+                                  {"incarnation", record.incarnation()},
+                                  {"address", record.address()}};
+    if (entry.living()) {
+      member["state"] = view::NameOf(static_cast<view::State>(record.state()));
+      member["zone"] = record.zone();
+      member["program"] = record.program();
+      member["settings"] = record.settings();
+    }
+    if (const view::Suspicion* suspicion = view_.suspicion(at)) member["accusers"] = suspicion->accusers;
+    members.push_back(std::move(member));
+  });
+  const view::Counters& counters = view_.counters();
+  auto& told = json["counters"] = nlohmann::ordered_json{{"sent", counters.sent},
+                                                         {"sent_bytes", counters.sent_bytes},
+                                                         {"received", counters.received},
+                                                         {"received_bytes", counters.received_bytes},
+                                                         {"exchanges", counters.exchanges},
+                                                         {"exchanged_bytes", counters.exchanged_bytes},
+                                                         {"replays", counters.replays},
+                                                         {"older_lives", counters.older_lives},
+                                                         {"misaddressed", counters.misaddressed},
+                                                         {"oversized", counters.oversized},
+                                                         {"news_shed", view_.news_shed()}};
+  for (int refusal = 1; refusal < peers::kRefusals; ++refusal)
+    told[std::string("refused_") + peers::NameOf(static_cast<peers::Refusal>(refusal))] =
+        counters.refused[static_cast<std::size_t>(refusal)];
+  if (transport_) {
+    told["unsent"] = transport_->counters().unsent;
+    told["exchanges_failed"] = transport_->counters().failed;
+    told["exchanges_turned_away"] = transport_->counters().turned_away;
+  }
+  return json.dump();
+}
+
+}  // namespace copperpoint::proxy
--- /dev/null
+++ b/src/proxy/fleet/host.h
@@ -0,0 +1,58 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Hosts this proxy's view of the fleet: the event loop's time and sockets for it, its events for the log, its
+// state for the operator. It decides nothing.
+#ifndef COPPERPOINT_PROXY_FLEET_HOST_H_
+#define COPPERPOINT_PROXY_FLEET_HOST_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "peers/transport.h"
+#include "proxy/fleet/settings.h"
+#include "view/view.h"
+
+namespace copperpoint::proxy {
+
+// What a proxy says of itself.
+struct FleetSelf {
+  std::string name, zone, program, settings;
+};
+
+class FleetHost {
+ public:
+  // Descriptors that it holds at most: both sockets, and exchanges.
+  static constexpr int kDescriptors = 18;
+
+  // Throws BadConfig on a key or a list of seeds that cannot be used, or fields too long to tell. Where the
+  // address is still another process's, as in an upgrade, it waits for it.
+  FleetHost(boost::asio::io_context& io, const FleetSettings& settings, const FleetSelf& self,
+            std::uint64_t seed);
+
+  void SetState(view::State state);
+  void Leave();  // says goodbye, and gives its address free
+  std::string Json() const;
+
+ private:
+  void Open();
+  void Flush();
+  void Arm();
+  static view::Time Now();
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::udp::endpoint listen_;
+  std::string cluster_;
+  std::vector<std::string> seeds_;
+  view::View view_;
+  std::unique_ptr<peers::Transport> transport_;
+  boost::asio::steady_timer timer_;
+  bool told_waiting_ = false, left_ = false;
+};
+
+}  // namespace copperpoint::proxy
+
+#endif  // COPPERPOINT_PROXY_FLEET_HOST_H_
--- /dev/null
+++ b/src/proxy/fleet/settings.cpp
@@ -0,0 +1,23 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "proxy/fleet/settings.h"
+
+#include "peers/transport.h"
+
+namespace copperpoint::proxy {
+
+void FleetSettings::Describe(config::Visitor& v) {
+  v.Word("cluster", cluster, {}, {.text = "name of the fleet; empty: this proxy talks to no other"});
+  v.Word("listen", listen, {}, {.text = "`ADDRESS:PORT`, UDP and TCP, for other proxies"});
+  v.Word("advertise", advertise, {}, {.text = "the same as others reach it; empty: `listen`"});
+  v.Words("seeds", seeds, {.text = "addresses of members that are asked first; one that answers is enough"});
+  v.Word("seeds_file", seeds_file, {}, {.text = "more of them, a line each"});
+  v.Word("key_file", key_file, {}, {.text = "the secret that members share, 16 to 64 bytes, mode 0600"});
+  boost::asio::ip::udp::endpoint parsed;
+  v.Check("listen", !on() || peers::ParseAddress(listen, &parsed), "is no ADDRESS:PORT");
+  v.Check("advertise", advertise.empty() || peers::ParseAddress(advertise, &parsed), "is no ADDRESS:PORT");
+  v.Check("key_file", !on() || !key_file.empty(), "is missing");
+  for (const std::string& seed : seeds)
+    v.Check("seeds", peers::ParseAddress(seed, &parsed), "'" + seed + "' is no ADDRESS:PORT");
+}
+
+}  // namespace copperpoint::proxy
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cctype>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <unordered_set>
 #include <utility>
 
@@ -26,7 +27,8 @@
 constexpr int kLeastPeers = 32;  // descriptors for clients and backends, however many another process holds
 
 int OwnDescriptors(const Config& config) {
-  return kOtherDescriptors + (config.operator_address ? kOperatorDescriptors : 0);
+  return kOtherDescriptors + (config.operator_address ? kOperatorDescriptors : 0) +
+         (config.fleet.on() ? FleetHost::kDescriptors : 0);
 }
 double PeerDescriptors(const Config& config) { return config.sockets - OwnDescriptors(config); }
 
@@ -89,6 +91,14 @@
   }
   if (config_.operator_address) operator_ = std::make_unique<Operator>(io, *config_.operator_address, *this);
   if (!config_.state_folder.empty()) LookAfterState();
+  if (config_.fleet.on()) {
+    const auto zone = static_cast<std::size_t>(config_.settings.zone);
+    fleet_ = std::make_unique<FleetHost>(io, config_.fleet,
+                                         FleetSelf{config_.name, zone < config_.zones.size() ? config_.zones[zone] : "",
+                                                   COPPERPOINT_VERSION, config_.settings_version},
+                                         config_.seed ^ std::random_device()());
+    TellFleet();
+  }
 }
 
 Proxy::~Proxy() = default;
@@ -101,6 +111,7 @@
 
 void Proxy::Stop(std::function<void()> done) {
   lifecycle_.Stop();
+  if (fleet_) fleet_->Leave();
   fresh_list_.cancel();
   if (!clients_) return done();
   clients_->Stop(kStopGrace, std::move(done));
@@ -128,15 +139,31 @@
 OperatorCalls::Verdict Proxy::Drain() {
   if (!lifecycle_.Drain()) return Verdict::kStopping;
   if (clients_) clients_->Drain(true);
+  TellFleet();
   return Verdict::kDone;
 }
 
 OperatorCalls::Verdict Proxy::Undrain() {
   if (!lifecycle_.Undrain()) return Verdict::kStopping;
   if (clients_) clients_->Drain(false);
+  TellFleet();
   return Verdict::kDone;
 }
 
+void Proxy::TellFleet() {
+  if (!fleet_) return;
+  switch (lifecycle_.state()) {
+    case Lifecycle::State::kStarting:
+      return fleet_->SetState(view::State::kStarting);
+    case Lifecycle::State::kReady:
+      return fleet_->SetState(view::State::kServing);
+    case Lifecycle::State::kDrained:
+      return fleet_->SetState(view::State::kDraining);
+    case Lifecycle::State::kStopping:
+      return;  // it has left
+  }
+}
+
 // Another process of this proxy may be told to take a backend out, or to put it back.
 void Proxy::LookAfterState() {
   look_.expires_after(kLookForDisabled);
@@ -166,6 +193,7 @@
         });
   }
   if (listed_) lifecycle_.Started();
+  TellFleet();
 }
 
 // Not before discovery's list is here, or would take too long: the one that this process was started with may
@@ -293,6 +321,7 @@
   PassOn(disabled_.Pass(list, kind != ListKind::kDelta), kind);
   listed_ |= !list.members.empty();
   if (clients_ && listed_) lifecycle_.Started();
+  TellFleet();
   // From within discovery's call: the hand-over is a step of its own.
   if (predecessor_ && !clients_ && kind != ListKind::kCached && listed_) TakeOverAfter({});
 }
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -28,6 +28,7 @@
 #include "proxy/data/clients.h"
 #include "proxy/discovery/discovery.h"
 #include "proxy/discovery/members.h"
+#include "proxy/fleet/host.h"
 
 namespace copperpoint::proxy {
 
@@ -54,6 +55,7 @@
   Verdict Enable(const std::string& backend) override;
   Verdict Drain() override;
   Verdict Undrain() override;
+  std::string Fleet() const override { return fleet_ ? fleet_->Json() : ""; }
 
   boost::asio::ip::tcp::endpoint address() const { return clients_->address(); }
   boost::asio::ip::tcp::endpoint operator_address() const { return operator_->address(); }
@@ -82,6 +84,7 @@
   void PassOn(const MemberList& list, ListKind kind);
   Verdict Carried(DisabledBackends::Verdict verdict, const MemberList& changes);
   void LookAfterState();
+  void TellFleet();  // what this process is up to
   // Begins to accept clients, at the listener that was inherited, if any.
   void Serve(int listener);
   void TakeOverAfter(std::chrono::milliseconds wait);
@@ -132,6 +135,7 @@
   std::unique_ptr<Operator> operator_;
   std::unique_ptr<HandoverClient> predecessor_;
   std::unique_ptr<HandoverServer> successor_;
+  std::unique_ptr<FleetHost> fleet_;  // null: this proxy talks to no other
 };
 
 }  // namespace copperpoint::proxy
--- a/src/proxy/serve.cpp
+++ b/src/proxy/serve.cpp
@@ -57,13 +57,18 @@
 
 Config Configure(const ServeOptions& options, Config platform, log::Settings* log) {
   Operating operating;
-  if (!options.operators_file.empty()) operating = config::Read<Operating>(options.operators_file);
+  if (!options.operators_file.empty()) {
+    operating = config::Read<Operating>(options.operators_file);
+    if (operating.fleet.on())
+      platform.settings_version = log::Hex(StableHash(config::Contents(options.operators_file)));
+  }
   *log = operating.log;
   log->level = options.log_level.value_or(log->level);
   log->format = options.log_format.value_or(log->format);
   platform.patience = operating.patience;
   platform.shares = operating.shares;
   platform.upgrade = operating.upgrade;
+  platform.fleet = operating.fleet;
   return platform;
 }
 
--- /dev/null
+++ b/src/rig/links.cpp
@@ -0,0 +1,58 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "rig/links.h"
+
+#include <algorithm>
+
+namespace copperpoint::rig {
+
+// Without receivers, the others; where all are senders, each with each.
+void Links::Begin(const Fault& fault) {
+  const std::vector<int> who = Chosen(plan_, fault.who, seed_);
+  const auto members = static_cast<std::size_t>(plan_.members);
+  Link link{&fault, std::vector<bool>(members), std::vector<bool>(members, fault.to.empty())};
+  for (const int member : who) {
+    link.who[static_cast<std::size_t>(member)] = true;
+    link.whom[static_cast<std::size_t>(member)] = fault.to.empty() && who.size() == members;
+  }
+  for (const int member : Chosen(plan_, fault.to, seed_)) link.whom[static_cast<std::size_t>(member)] = true;
+  links_.push_back(std::move(link));
+}
+
+void Links::End(const Fault& fault) {
+  std::erase_if(links_, [&](const Link& link) { return link.fault == &fault; });
+}
+
+Links::Passage Links::Pass(int from, int to, bool stream, std::string* bytes) {
+  Passage passage;
+  const auto x = static_cast<std::size_t>(from), y = static_cast<std::size_t>(to);
+  for (const Link& link : links_) {
+    if (!(link.who[x] && link.whom[y]) && !(link.fault->both && link.who[y] && link.whom[x])) continue;
+    const double amount = link.fault->amount;
+    switch (link.fault->kind) {
+      case FaultKind::kCut:
+        passage.passes = false;
+        break;
+      case FaultKind::kLoss:
+        if (amount >= 1 || (!stream && random_.Chance(amount))) passage.passes = false;
+        break;
+      case FaultKind::kDelay:
+        passage.more_ms += amount * (1 + random_.Unit());
+        break;
+      case FaultKind::kDuplicate:
+        if (!stream && random_.Chance(amount)) ++passage.copies;
+        break;
+      case FaultKind::kReorder:
+        if (!stream && random_.Chance(amount)) passage.more_ms += random_.Between(1, 50);
+        break;
+      case FaultKind::kCorrupt:
+        if (!stream && !bytes->empty() && random_.Chance(amount))
+          (*bytes)[random_.Below(bytes->size())] ^= static_cast<char>(1 << random_.Below(8));
+        break;
+      default:
+        break;
+    }
+  }
+  return passage;
+}
+
+}  // namespace copperpoint::rig
--- /dev/null
+++ b/src/rig/links.h
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The faults in force between members, and what they do to one datagram or connection. The relay of processes
+// and the network in virtual time ask the same object.
+#ifndef COPPERPOINT_RIG_LINKS_H_
+#define COPPERPOINT_RIG_LINKS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "lab/core/random.h"
+#include "rig/plan.h"
+
+namespace copperpoint::rig {
+
+class Links {
+ public:
+  Links(const Plan& plan, std::uint64_t seed) : plan_(plan), seed_(seed), random_(seed, "links") {}
+
+  void Begin(const Fault& fault);  // one on links
+  void End(const Fault& fault);
+
+  struct Passage {
+    bool passes = true;
+    double more_ms = 0;  // than without a fault
+    int copies = 1;
+  };
+  // `bytes` may be changed on its way; `stream`: a connection or a piece of one, of which nothing is lost or
+  // spoilt but by a cut.
+  Passage Pass(int from, int to, bool stream, std::string* bytes);
+
+ private:
+  struct Link {
+    const Fault* fault;
+    std::vector<bool> who, whom;
+  };
+  const Plan& plan_;
+  const std::uint64_t seed_;
+  lab::Random random_;
+  std::vector<Link> links_;
+};
+
+}  // namespace copperpoint::rig
+
+#endif  // COPPERPOINT_RIG_LINKS_H_
--- /dev/null
+++ b/src/rig/processes/child.cpp
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "rig/processes/child.h"
+
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/process.hpp>
+#include <boost/process/extend.hpp>
+#include <istream>
+#include <utility>
+
+namespace copperpoint::rig {
+
+namespace bp = boost::process;
+
+class Child::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(boost::asio::io_context& io, OnLine on_line, OnEnd on_end)
+      : pipe(io), on_line(std::move(on_line)), on_end(std::move(on_end)) {}
+
+  void Read() {
+    boost::asio::async_read_until(
+        pipe, buffer, '\n',
+        [self = shared_from_this()](const boost::system::error_code& failed, std::size_t) {
+          if (failed) return self->Ended();
+          std::istream in(&self->buffer);
+          std::string line;
+          std::getline(in, line);
+          if (self->on_line) self->on_line(line);
+          self->Read();
+        });
+  }
+
+  // Its standard error is closed: it has ended, or is about to.
+  void Ended() {
+    if (std::exchange(over, true)) return;
+    std::error_code ignored;
+    child.wait(ignored);
+    const int status = child.native_exit_code();
+    if (on_end) on_end(WIFSIGNALED(status) ? 1000 + WTERMSIG(status) : WEXITSTATUS(status));
+  }
+
+  bp::async_pipe pipe;
+  boost::asio::streambuf buffer{1 << 20};
+  bp::child child;
+  OnLine on_line;
+  OnEnd on_end;
+  bool over = false;
+};
+
+Child::Child(boost::asio::io_context& io, const std::string& program,
+             const std::vector<std::string>& arguments, const std::map<std::string, std::string>& more,
+             OnLine on_line, OnEnd on_end)
+    : impl_(std::make_shared<Impl>(io, std::move(on_line), std::move(on_end))) {
+  bp::environment env = boost::this_process::environment();
+  for (const auto& [name, value] : more) env[name] = value;
+  // A signal that the rig catches must not stay blocked or ignored in what it starts.
+  const auto before = bp::extend::on_exec_setup([](auto&) { ::prctl(PR_SET_PDEATHSIG, SIGKILL); });
+  impl_->child = bp::child(bp::exe = program, bp::args = arguments, env,
+                           bp::std_in<bp::null, bp::std_out> bp::null, bp::std_err > impl_->pipe, before);
+  impl_->Read();
+}
+
+Child::~Child() {
+  impl_->on_line = nullptr;
+  impl_->on_end = nullptr;
+  if (!impl_->over) {
+    Signal(SIGKILL);
+    std::error_code ignored;
+    impl_->child.wait(ignored);
+    impl_->over = true;
+  }
+  boost::system::error_code ignored;
+  impl_->pipe.close(ignored);
+}
+
+void Child::Signal(int signal) {
+  if (!impl_->over) ::kill(impl_->child.id(), signal);
+}
+
+bool Child::running() const { return !impl_->over; }
+
+}  // namespace copperpoint::rig
--- /dev/null
+++ b/src/rig/processes/play.cpp
@@ -0,0 +1,489 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "rig/processes/play.h"
+
+#include <fmt/format.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+#include "peers/transport.h"
+#include "rig/judge.h"
+#include "rig/links.h"
+#include "rig/processes/child.h"
+#include "rig/processes/relay.h"
+#include "rig/processes/service.h"
+#include "view/options.h"
+
+namespace copperpoint::rig {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Error = boost::system::error_code;
+using Clock = std::chrono::steady_clock;
+using Udp = asio::ip::udp;
+
+constexpr double kHeaders = 28;                        // bytes of IP and UDP around a datagram
+constexpr std::chrono::milliseconds kLook{100};        // between looks at all views
+constexpr std::chrono::milliseconds kLookAnswer{400};  // for one proxy's answer
+constexpr std::chrono::milliseconds kMostLate{300};    // of the rig's own timers
+constexpr std::chrono::milliseconds kFrontNotices{
+    100};  // until no client is sent to a process that has ended
+
+// A folder that goes with the run.
+class Folder {
+ public:
+  Folder() {
+    std::string pattern = (std::filesystem::temp_directory_path() / "copperpoint-rig-XXXXXX").string();
+    if (!::mkdtemp(pattern.data())) throw std::runtime_error("no folder for the rig");
+    path = pattern;
+  }
+  ~Folder() {
+    std::error_code ignored;
+    std::filesystem::remove_all(path, ignored);
+  }
+  std::string path;
+};
+
+class ProcessFleet {
+ public:
+  ProcessFleet(const Plan& plan, const ProcessOptions& options)
+      : plan_(plan),
+        options_(options),
+        random_(options.seed, "processes"),
+        links_(plan, options.seed),
+        judge_(plan, options.seed, static_cast<double>(view::Options().silence.count()) / 1e6),
+        observer_(500),
+        look_(io_),
+        signals_(io_, SIGINT, SIGTERM),
+        members_(static_cast<std::size_t>(plan.members)) {}
+
+  ProcessOutcome Play();
+
+ private:
+  struct Member {
+    std::unique_ptr<Child> child;
+    std::uint64_t life = 0;
+    bool up = false, stopped = false;
+    bool ending = false, killed = false;  // the rig has ended this process
+    Clock::time_point ready{};            // when it said so last, or was continued
+    Tcp::endpoint listen, op;
+    Udp::endpoint inside, outside;
+    std::string view;  // its answer in the present look
+    std::size_t living = 0;
+    double out = 0, in = 0, asked_at = 0;    // bytes so far, with headers, and when it said so
+    double refused = 0, refused_before = 0;  // datagrams, of this life and of those before
+    double out_before = 0, in_before = 0, before_at = -1;
+    std::ofstream log;
+  };
+  class Look;
+  friend class Look;
+
+  Member& At(int member) { return members_[static_cast<std::size_t>(member)]; }
+  double Now() const { return std::chrono::duration<double>(Clock::now() - began_).count(); }
+  asio::ip::address Address(int net, int member) const {
+    return asio::ip::make_address(fmt::format("127.{}.{}.{}", block_, net + member / 200, 1 + member % 200));
+  }
+  void Prepare();
+  void WriteFiles(int member);
+  void Start(int member);
+  void End(int member, bool with_a_word);
+  void Stop(int member, bool stop);
+  void OnLine(int member, const std::string& line);
+  void OnEnd(int member, std::uint64_t life, int status);
+  void Schedule(double at_s, std::function<void()> what);
+  void ScheduleFault(const Fault& fault);
+  void LookAtAll();
+  void OnLooked();
+
+  const Plan& plan_;
+  const ProcessOptions& options_;
+  asio::io_context io_;
+  Folder folder_;
+  lab::Random random_;
+  Links links_;
+  Judge judge_;
+  lab::Observer observer_;
+  asio::steady_timer look_;
+  asio::signal_set signals_;
+  std::vector<Member> members_;
+  std::vector<std::unique_ptr<asio::steady_timer>> timers_;
+  std::unique_ptr<Relay> relay_;
+  std::unique_ptr<StandInDiscovery> discovery_;
+  std::unique_ptr<StandInBackends> backends_;
+  std::unique_ptr<Clients> clients_;
+  Clock::time_point began_{};
+  int block_ = 0, looking_ = 0;
+  std::uint64_t looks_ = 0;
+  bool over_ = false, interrupted_ = false;
+  double rest_from_ = 0;
+  Clock::duration latest_{};
+};
+
+// Asks one proxy for its view.
+class ProcessFleet::Look : public std::enable_shared_from_this<Look> {
+ public:
+  Look(ProcessFleet& owner, int member) : owner_(owner), member_(member), stream_(owner.io_) {}
+  void Start() {
+    stream_.expires_after(kLookAnswer);
+    stream_.async_connect(owner_.At(member_).op, [self = shared_from_this()](const Error& failed) {
+      if (failed) return self->Over();
+      self->request_ = {http::verb::get, "/fleet", 11};
+      self->request_.set(http::field::host, "rig");
+      http::async_write(self->stream_, self->request_, [self](const Error& broken, std::size_t) {
+        if (broken) return self->Over();
+        http::async_read(self->stream_, self->buffer_, self->response_,
+                         [self](const Error& error, std::size_t) {
+                           if (!error) self->Take();
+                           self->Over();
+                         });
+      });
+    });
+  }
+
+ private:
+  void Take() {
+    const auto json = nlohmann::json::parse(response_.body(), nullptr, /*allow_exceptions=*/false);
+    if (!json.is_object()) return;
+    Member& of = owner_.At(member_);
+    of.view = json.value("view", "");
+    of.living = 0;
+    const auto& counters = json["counters"];
+    of.out = counters.value("sent_bytes", 0.0) + kHeaders * counters.value("sent", 0.0);
+    of.in = counters.value("received_bytes", 0.0) + kHeaders * counters.value("received", 0.0);
+    of.asked_at = owner_.Now();
+    of.refused = 0;
+    for (const auto& [name, value] : counters.items())
+      if (name.starts_with("refused_")) of.refused += value.get<double>();
+    if (of.before_at < 0 && of.asked_at >= owner_.rest_from_) {
+      of.out_before = of.out;
+      of.in_before = of.in;
+      of.before_at = of.asked_at;
+    }
+    for (const auto& member : json["members"]) {
+      const std::string status = member.value("status", "");
+      of.living += status == "alive" || status == "suspect";
+    }
+  }
+  void Over() {
+    if (--owner_.looking_ == 0) owner_.OnLooked();
+  }
+
+  ProcessFleet& owner_;
+  const int member_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  http::request<http::empty_body> request_;
+  http::response<http::string_body> response_;
+};
+
+void ProcessFleet::Prepare() {
+  block_ = 16 + ::getpid() % 200;
+  std::vector<Udp::endpoint> inside, outside;
+  const auto free_port = [&](const asio::ip::address& address) {
+    return Tcp::acceptor(io_, {address, 0}).local_endpoint().port();
+  };
+  for (int i = 0; i < plan_.members; ++i) {
+    Member& member = At(i);
+    const auto address = Address(0, i), door = Address(50, i);
+    member.listen = {address, free_port(address)};
+    member.op = {address, free_port(address)};
+    member.inside = {address, free_port(address)};
+    member.outside = {door, free_port(door)};
+    inside.push_back(member.inside);
+    outside.push_back(member.outside);
+  }
+  if (options_.sharing) relay_ = std::make_unique<Relay>(io_, links_, inside, outside);
+  const auto now = [this] { return lab::FromMs(Now() * 1000); };
+  backends_ = std::make_unique<StandInBackends>(io_, plan_.service, Address(100, 0), observer_, now);
+  nlohmann::json list{{"revision", 1}, {"complete", true}, {"members", nlohmann::json::array()}};
+  for (std::size_t i = 0; i < backends_->addresses().size(); ++i) {
+    list["members"].push_back({{"id", fmt::format("b{}", i + 1)},
+                               {"host_port", peers::TextOf({backends_->addresses()[i].address(),
+                                                            backends_->addresses()[i].port()})},
+                               {"locality", ZoneName(plan_, static_cast<int>(i))},
+                               {"flavor", "m"},
+                               {"cell", 0},
+                               {"phase", "in_service"},
+                               {"size", 1.0},
+                               {"up_since_ms", 0}});
+  }
+  discovery_ = std::make_unique<StandInDiscovery>(io_, Address(101, 0), list);
+  const auto choose = [this](lab::Random& random) -> std::optional<Clients::Target> {
+    std::vector<int> up;
+    for (int i = 0; i < plan_.members; ++i)
+      if (At(i).up) up.push_back(i);
+    if (up.empty()) return std::nullopt;
+    const int member = up[random.Below(up.size())];
+    return Clients::Target{At(member).listen, member, At(member).life};
+  };
+  const auto owed = [this](const Clients::Target& target) {
+    const Member& member = At(target.member);
+    return !member.killed && !member.stopped && member.life == target.life &&
+           Clock::now() - member.ready > 3 * kMostLate;
+  };
+  clients_ = std::make_unique<Clients>(io_, plan_.service, options_.seed, observer_, choose, owed, now);
+  std::ofstream(folder_.path + "/key") << "a key that only this rig has\n";
+  ::chmod((folder_.path + "/key").c_str(), 0600);
+  for (int i = 0; i < plan_.members; ++i) WriteFiles(i);
+}
+
+void ProcessFleet::WriteFiles(int number) {
+  const Member& member = At(number);
+  const std::string base = folder_.path + "/" + MemberName(number);
+  std::filesystem::create_directory(base);
+  const auto text = [](const Tcp::endpoint& e) { return peers::TextOf({e.address(), e.port()}); };
+  const nlohmann::json config{
+      {"name", MemberName(number)},
+      {"listen", text(member.listen)},
+      {"operator", text(member.op)},
+      {"discovery", text(discovery_->address())},
+      {"seed", fmt::format("{:x}", options_.seed * 1000 + static_cast<std::uint64_t>(number))},
+      {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
+      {"settings", SettingsOf(plan_, number)}};
+  std::ofstream(base + "/config.json") << config.dump();
+  std::string seeds;
+  for (int i = 0; i < std::min(plan_.seeds, plan_.members); ++i)
+    seeds += fmt::format("{}\"{}\"", i ? ", " : "", peers::TextOf(At(i).outside));
+  std::ofstream file(base + "/operator.toml");
+  file << "[log]\nformat = \"json\"\nlines_per_s = 1000000\n";
+  if (options_.sharing)
+    file << fmt::format(
+        "[fleet]\ncluster = \"rig\"\nlisten = \"{}\"\nadvertise = \"{}\"\nseeds = [{}]\nkey_file = "
+        "\"{}/key\"\n",
+        peers::TextOf(member.inside), peers::TextOf(member.outside), seeds, folder_.path);
+}
+
+void ProcessFleet::Start(int number) {
+  Member& member = At(number);
+  if (over_ || (member.child && member.child->running())) return;
+  const std::string base = folder_.path + "/" + MemberName(number);
+  // Nothing of an earlier life is left to it.
+  std::filesystem::remove_all(base + "/tmp");
+  std::filesystem::create_directory(base + "/tmp");
+  if (!options_.logs.empty() && !member.log.is_open()) {
+    std::filesystem::create_directories(options_.logs);
+    member.log.open(options_.logs + "/" + MemberName(number) + ".log");
+  }
+  const std::uint64_t life = ++member.life;
+  member.refused_before += std::exchange(member.refused, 0);
+  member.stopped = member.ending = member.killed = false;
+  judge_.Started(Now(), number);
+  member.child = std::make_unique<Child>(
+      io_, options_.program, std::vector<std::string>{"serve", "--config", base + "/operator.toml"},
+      std::map<std::string, std::string>{{"ROUTER_CONFIG", base + "/config.json"}, {"TMPDIR", base + "/tmp"}},
+      [this, number](const std::string& line) { OnLine(number, line); },
+      [this, number, life](int status) { OnEnd(number, life, status); });
+}
+
+void ProcessFleet::OnLine(int number, const std::string& line) {
+  Member& member = At(number);
+  if (member.log.is_open()) member.log << line << '\n';
+  const auto json = nlohmann::json::parse(line, nullptr, /*allow_exceptions=*/false);
+  if (!json.is_object()) return;
+  const std::string event = json.value("event", "");
+  if (event == "state_changed" && json.value("to", "") == "ready") {
+    member.up = true;
+    member.ready = Clock::now();
+  } else if (event == "fleet_dead") {
+    const std::string subject = json.value("member", "");
+    for (int i = 0; i < plan_.members; ++i)
+      if (MemberName(i) == subject) judge_.SaidDead(Now(), number, i);
+  }
+}
+
+void ProcessFleet::OnEnd(int number, std::uint64_t life, int status) {
+  Member& member = At(number);
+  if (member.life != life || over_) return;
+  if (!member.ending || (!member.killed && status != 0))
+    judge_.Broke(fmt::format("{} ended by itself at {:.2f} s, status {}", MemberName(number), Now(), status));
+  member.up = false;
+}
+
+void ProcessFleet::End(int number, bool with_a_word) {
+  Member& member = At(number);
+  if (!member.child || !member.child->running()) return;
+  judge_.Ended(Now(), number, with_a_word);
+  member.ending = true;
+  member.killed = !with_a_word;
+  member.child->Signal(with_a_word ? SIGTERM : SIGKILL);
+  if (member.stopped) member.child->Signal(SIGCONT);
+  // Clients go on to come until the front has noticed.
+  const std::uint64_t life = member.life;
+  Schedule(Now() + std::chrono::duration<double>(kFrontNotices).count(), [this, number, life] {
+    if (At(number).life == life) At(number).up = false;
+  });
+}
+
+void ProcessFleet::Stop(int number, bool stop) {
+  Member& member = At(number);
+  if (!member.child || !member.child->running() || member.stopped == stop) return;
+  member.child->Signal(stop ? SIGSTOP : SIGCONT);
+  member.stopped = stop;
+  member.ready = Clock::now();
+  stop ? judge_.Stopped(Now(), number) : judge_.Continued(Now(), number);
+}
+
+void ProcessFleet::Schedule(double at_s, std::function<void()> what) {
+  const auto due = began_ + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(at_s));
+  timers_.push_back(std::make_unique<asio::steady_timer>(io_, due));
+  timers_.back()->async_wait([this, due, what = std::move(what)](const Error& cancelled) {
+    if (cancelled || over_) return;
+    latest_ = std::max(latest_, Clock::now() - due);
+    what();
+  });
+}
+
+void ProcessFleet::ScheduleFault(const Fault& fault) {
+  const double until = fault.for_s > 0 ? fault.at_s + fault.for_s : plan_.length_s;
+  if (fault.OnLinks()) {
+    Schedule(fault.at_s, [&] { links_.Begin(fault); });
+    if (fault.for_s > 0) Schedule(until, [&] { links_.End(fault); });
+    return;
+  }
+  for (const int member : Chosen(plan_, fault.who, options_.seed)) {
+    switch (fault.kind) {
+      case FaultKind::kKill:
+      case FaultKind::kLeave:
+        Schedule(fault.at_s, [this, member, &fault] { End(member, fault.kind == FaultKind::kLeave); });
+        if (fault.for_s > 0) Schedule(until, [this, member] { Start(member); });
+        break;
+      case FaultKind::kStart:
+        Schedule(fault.at_s, [this, member] { Start(member); });
+        break;
+      case FaultKind::kStop:
+        Schedule(fault.at_s, [this, member] { Stop(member, true); });
+        if (fault.for_s > 0) Schedule(until, [this, member] { Stop(member, false); });
+        break;
+      default: {  // starve
+        double at = fault.at_s + random_.Between(0, fault.most_ms) / 1000;
+        while (at < until) {
+          const double stop = random_.Between(fault.least_ms, fault.most_ms) / 1000;
+          Schedule(at, [this, member] { Stop(member, true); });
+          Schedule(at + stop, [this, member] { Stop(member, false); });
+          at += stop + random_.Between(fault.least_ms, fault.most_ms) / 1000;
+        }
+      }
+    }
+  }
+}
+
+void ProcessFleet::LookAtAll() {
+  look_.expires_after(kLook);
+  look_.async_wait([this](const Error& cancelled) {
+    if (cancelled || over_) return;
+    ++looks_;
+    for (int i = 0; i < plan_.members; ++i) {
+      At(i).view.clear();
+      if (At(i).up) ++looking_;
+    }
+    if (looking_ == 0) return LookAtAll();
+    for (int i = 0; i < plan_.members; ++i)
+      if (At(i).up) std::make_shared<Look>(*this, i)->Start();
+  });
+}
+
+void ProcessFleet::OnLooked() {
+  if (over_) return;
+  std::size_t up = 0;
+  const Member* first = nullptr;
+  bool agreed = true;
+  for (const Member& member : members_) {
+    if (!member.up) continue;
+    ++up;
+    if (!first) first = &member;
+    agreed &= !member.view.empty() && member.view == first->view;
+  }
+  judge_.Agreed(Now(), agreed && first && first->living == up);
+  LookAtAll();
+}
+
+ProcessOutcome ProcessFleet::Play() {
+  Prepare();
+  began_ = Clock::now();
+  signals_.async_wait([this](const Error& cancelled, int) {
+    if (cancelled) return;
+    interrupted_ = true;
+    io_.stop();
+  });
+  std::vector<bool> late(members_.size());
+  for (const Fault& fault : plan_.faults) {
+    if (fault.kind == FaultKind::kStart)
+      for (const int member : Chosen(plan_, fault.who, options_.seed))
+        late[static_cast<std::size_t>(member)] = true;
+    ScheduleFault(fault);
+  }
+  for (int i = 0; i < plan_.members; ++i)
+    if (!late[static_cast<std::size_t>(i)])
+      Schedule(random_.Between(0, plan_.start_spread_s), [this, i] { Start(i); });
+  double count_from = plan_.start_spread_s + 1;
+  rest_from_ = LastFaultOver(plan_);
+  for (const Property& property : plan_.properties)
+    if (property.after_s >= 0) {
+      if (property.kind == PropertyKind::kServedAtLeast) count_from = property.after_s;
+      if (property.kind == PropertyKind::kBytesAtMost) rest_from_ = property.after_s;
+    }
+  Schedule(plan_.start_spread_s + 0.5, [this, count_from] { clients_->Start(count_from); });
+  if (options_.sharing) LookAtAll();
+  Schedule(plan_.length_s, [this] {
+    over_ = true;
+    io_.stop();
+  });
+  io_.run();
+  over_ = true;
+  const double end = Now();
+  clients_->Stop();
+  for (Member& member : members_) member.child.reset();
+  for (const Member& member : members_) {
+    judge_.Refusals(static_cast<std::uint64_t>(member.refused + member.refused_before));
+    const double span = member.asked_at - member.before_at;
+    if (member.up && member.before_at >= 0 && span > 0)
+      judge_.Bytes((member.out - member.out_before) / span, (member.in - member.in_before) / span);
+  }
+  judge_.Served(clients_->served(), clients_->asked());
+  for (const lab::Broken& broken : observer_.broken())
+    judge_.Broke(fmt::format("rule {} at {:.2f} s, request {:x}, {}: {}", static_cast<int>(broken.rule),
+                             static_cast<double>(broken.at) / 1e6, broken.request,
+                             MemberName(static_cast<int>(broken.proxy)), broken.what));
+  Judge::Verdict verdict = judge_.Close(end, /*with_service=*/true);
+  ProcessOutcome result;
+  result.outcome = {verdict.holds, std::move(verdict.json), std::move(verdict.story)};
+  result.is_void = latest_ > kMostLate;
+  result.interrupted = interrupted_;
+  auto& json = result.outcome.json;
+  json["seed"] = options_.seed;
+  json["members"] = plan_.members;
+  json["requests"] = clients_->all();
+  json["executions"] = backends_->executions();
+  json["looks"] = looks_;
+  json["rig_late_ms"] = std::chrono::duration<double, std::milli>(latest_).count();
+  if (relay_) {
+    json["datagrams_passed"] = relay_->passed();
+    json["datagrams_dropped"] = relay_->dropped();
+  }
+  return result;
+}
+
+}  // namespace
+
+ProcessOutcome PlayProcesses(const Plan& plan, const ProcessOptions& options) {
+  return ProcessFleet(plan, options).Play();
+}
+
+}  // namespace copperpoint::rig
--- /dev/null
+++ b/src/rig/processes/relay.h
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What lies between the members of a rig of processes. Each member advertises an address of the relay's and
+// binds another, so that every datagram and connection between two of them passes here, where sender and
+// receiver are known and their link is shaped by the faults in force.
+#ifndef COPPERPOINT_RIG_PROCESSES_RELAY_H_
+#define COPPERPOINT_RIG_PROCESSES_RELAY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+#include "rig/links.h"
+
+namespace copperpoint::rig {
+
+class Relay {
+ public:
+  using Udp = boost::asio::ip::udp;
+
+  // `inside`: where each member binds; `outside`: what it advertises. Throws boost::system::system_error if
+  // an address cannot be had.
+  Relay(boost::asio::io_context& io, Links& links, std::vector<Udp::endpoint> inside,
+        const std::vector<Udp::endpoint>& outside);
+  ~Relay();
+
+  std::uint64_t passed() const { return passed_; }
+  std::uint64_t dropped() const { return dropped_; }
+
+ private:
+  class Stream;
+  friend class Stream;
+  struct Door {  // to one member
+    explicit Door(boost::asio::io_context& io) : udp(io), tcp(io) {}
+    Udp::socket udp;
+    boost::asio::ip::tcp::acceptor tcp;
+    Udp::endpoint from;
+    std::string buffer;
+  };
+
+  void Receive(int to);
+  void OnDatagram(int to, std::size_t size);
+  void Pass(int from, int to, std::string bytes);
+  void Accept(int to);
+  int MemberAt(const boost::asio::ip::address& address) const;
+
+  boost::asio::io_context& io_;
+  Links& links_;
+  std::vector<Udp::endpoint> inside_;
+  std::vector<std::unique_ptr<Door>> doors_;
+  std::unordered_set<std::shared_ptr<Stream>> streams_;
+  std::uint64_t passed_ = 0, dropped_ = 0;
+};
+
+}  // namespace copperpoint::rig
+
+#endif  // COPPERPOINT_RIG_PROCESSES_RELAY_H_
--- a/src/rig/virtual.cpp
+++ b/src/rig/virtual.cpp
@@ -10,6 +10,7 @@
 #include "lab/core/queue.h"
 #include "lab/core/random.h"
 #include "rig/judge.h"
+#include "rig/links.h"
 #include "view/view.h"
 
 namespace copperpoint::rig {
@@ -22,7 +23,6 @@
 
 constexpr char kCluster[] = "rig", kKey[] = "a key that only the rig has";
 constexpr double kExchangeRtts = 1.5;       // before the first frame is there
-constexpr Micros kExchangeLimit = 3000000;  // as the transport's
 
 double Seconds(Micros at) { return static_cast<double>(at) / 1e6; }
 
@@ -32,6 +32,7 @@
       : plan_(plan),
         options_(options),
         random_(options.seed, "network"),
+        links_(plan, options.seed),
         judge_(plan, options.seed, static_cast<double>(options.view.silence.count()) / 1e6),
         nodes_(static_cast<std::size_t>(plan.members)) {}
 
@@ -66,10 +67,6 @@
     std::uint64_t out_before = 0, in_before = 0;
     std::uint64_t sent = 0, received = 0, sent_bytes = 0, received_bytes = 0;  // of lives that are over
   };
-  struct Link {
-    const Fault* fault;
-    std::vector<bool> who, whom;
-  };
 
   Node& At(int member) { return nodes_[static_cast<std::size_t>(member)]; }
   void Start(int member);
@@ -79,7 +76,6 @@
   void After(int member);
   void Datagram(int from, const std::string& to, std::string bytes);
   void Exchange(int from, const std::string& to, std::string bytes);
-  bool Passes(int from, int to, bool stream, double* more_ms, int* copies, std::string* bytes);
   Micros Delay() { return FromMs(plan_.network.delay_ms * random_.Lognormal(1, plan_.network.jitter)); }
   std::uint64_t Keep(Message message);
   int MemberAt(const std::string& address) const {
@@ -94,6 +90,7 @@
   const Plan& plan_;
   const VirtualOptions& options_;
   lab::Random random_;
+  Links links_;
   lab::Queue queue_;
   Judge judge_;
   std::vector<Node> nodes_;
@@ -101,7 +98,6 @@
   std::vector<std::string> seeds_;
   std::vector<Message> messages_;
   std::vector<std::uint64_t> free_;
-  std::vector<Link> links_;
   std::vector<std::vector<int>> befalls_;  // by fault
   std::unordered_map<std::uint64_t, int> hashes_;
   int up_ = 0;
@@ -205,57 +201,24 @@
   }
 }
 
-bool VirtualFleet::Passes(int from, int to, bool stream, double* more_ms, int* copies, std::string* bytes) {
-  if (!stream && random_.Chance(plan_.network.loss)) return false;
-  for (const Link& link : links_) {
-    const auto x = static_cast<std::size_t>(from), y = static_cast<std::size_t>(to);
-    if (!(link.who[x] && link.whom[y]) && !(link.fault->both && link.who[y] && link.whom[x])) continue;
-    const double amount = link.fault->amount;
-    switch (link.fault->kind) {
-      case FaultKind::kCut:
-        return false;
-      case FaultKind::kLoss:
-        if (amount >= 1 || (!stream && random_.Chance(amount))) return false;
-        break;
-      case FaultKind::kDelay:
-        *more_ms += amount * (1 + random_.Unit());
-        break;
-      case FaultKind::kDuplicate:
-        if (!stream && random_.Chance(amount)) ++*copies;
-        break;
-      case FaultKind::kReorder:
-        if (!stream && random_.Chance(amount)) *more_ms += random_.Between(1, 50);
-        break;
-      case FaultKind::kCorrupt:
-        if (!stream && random_.Chance(amount))
-          (*bytes)[random_.Below(bytes->size())] ^= 1 << random_.Below(8);
-        break;
-      default:
-        break;
-    }
-  }
-  return true;
-}
-
 void VirtualFleet::Datagram(int from, const std::string& to, std::string bytes) {
   const int target = MemberAt(to);
-  double more_ms = 0;
-  int copies = 1;
-  if (target < 0 || !Passes(from, target, /*stream=*/false, &more_ms, &copies, &bytes)) return;
-  for (int i = 0; i < copies; ++i)
-    queue_.Push(queue_.now() + Delay() + FromMs(more_ms), Rank::kClient, kDatagram, 0,
-                Keep({from, target, 0, i + 1 < copies ? bytes : std::move(bytes)}));
+  if (target < 0 || random_.Chance(plan_.network.loss)) return;
+  const Links::Passage passage = links_.Pass(from, target, /*stream=*/false, &bytes);
+  if (!passage.passes) return;
+  for (int i = 0; i < passage.copies; ++i)
+    queue_.Push(queue_.now() + Delay() + FromMs(passage.more_ms), Rank::kClient, kDatagram, 0,
+                Keep({from, target, 0, bytes}));
 }
 
 void VirtualFleet::Exchange(int from, const std::string& to, std::string bytes) {
   const int target = MemberAt(to);
-  double more_ms = 0;
-  int copies = 1;
-  if (target < 0 || !Passes(from, target, /*stream=*/true, &more_ms, &copies, &bytes) ||
-      !Passes(target, from, /*stream=*/true, &more_ms, &copies, &bytes))
-    return;
+  if (target < 0) return;
+  const Links::Passage there = links_.Pass(from, target, /*stream=*/true, &bytes);
+  const Links::Passage back = links_.Pass(target, from, /*stream=*/true, &bytes);
+  if (!there.passes || !back.passes) return;
   const auto delay = static_cast<Micros>(2 * kExchangeRtts * static_cast<double>(Delay()));
-  queue_.Push(queue_.now() + delay + FromMs(more_ms), Rank::kClient, kAsked, 0,
+  queue_.Push(queue_.now() + delay + FromMs(there.more_ms + back.more_ms), Rank::kClient, kAsked, 0,
               Keep({from, target, At(from).life, std::move(bytes)}));
 }
 
@@ -289,17 +252,7 @@
 void VirtualFleet::BeginFault(std::size_t index) {
   const Fault& fault = plan_.faults[index];
   const std::vector<int>& members = befalls_[index];
-  if (fault.OnLinks()) {
-    Link link{&fault, std::vector<bool>(nodes_.size()), std::vector<bool>(nodes_.size(), fault.to.empty())};
-    for (const int member : members) link.who[static_cast<std::size_t>(member)] = true;
-    const bool everywhere = members.size() == nodes_.size();
-    for (const int member : members)
-      link.whom[static_cast<std::size_t>(member)] = fault.to.empty() && everywhere;
-    for (const int member : Chosen(plan_, fault.to, options_.seed))
-      link.whom[static_cast<std::size_t>(member)] = true;
-    links_.push_back(std::move(link));
-    return;
-  }
+  if (fault.OnLinks()) return links_.Begin(fault);
   for (const int member : members) {
     switch (fault.kind) {
       case FaultKind::kKill:
@@ -334,7 +287,7 @@
 
 void VirtualFleet::EndFault(std::size_t index) {
   const Fault& fault = plan_.faults[index];
-  std::erase_if(links_, [&](const Link& link) { return link.fault == &fault; });
+  if (fault.OnLinks()) return links_.End(fault);
   if (fault.kind == FaultKind::kKill || fault.kind == FaultKind::kLeave)
     for (const int member : befalls_[index]) Start(member);
 }
--- a/src/view/view_claims.cpp
+++ b/src/view/view_claims.cpp
@@ -166,6 +166,7 @@
     return Bury(at, status, by, claim.age_ms(), now);
   if (newer) Revive(at, WithIncarnation(*entry.record, record.incarnation()), now);
   Accuse(at, by, now, now);
+  if (Suspicion* suspicion = suspicions_.Find(at)) suspicion->judge = true;  // and asks it itself
 }
 
 void View::OnOwnName(const wire::Claim& claim, Time now) {
--- a/src/view/view_messages.cpp
+++ b/src/view/view_messages.cpp
@@ -106,6 +106,7 @@
   Entry& entry = members_.Mutable(at);
   if (entry.record->life() != message.life()) {
     if (!Before(message.incarnation(), message.life(), entry.record->incarnation(), entry.record->life())) {
+      if (message.kind() == wire::KIND_SYNC) return true;  // one that has just started: it is told what to go above
       ++counters_.older_lives;
       if (now >= next_refusal_) {  // a living one learns that its name is another's
         next_refusal_ = now + kRefusals;
--- a/src/view/view_probes.cpp
+++ b/src/view/view_probes.cpp
@@ -7,6 +7,11 @@
 #include "view/view.h"
 
 namespace copperpoint::view {
+namespace {
+
+constexpr int kMostAsked = 32;  // suspects in one look: a fleet in ruins is no reason for a storm
+
+}  // namespace
 
 void View::ProbeNext(Time now) {
   const auto names = [this] {
@@ -84,11 +89,12 @@
   next_judgement_ = now + options_.period / 4;
   std::vector<int> over;
   const std::size_t living = members_.living().size();
+  int asked = 0;
   const std::size_t healthy = living - std::min(living, suspicions_.size());
   for (auto& [at, suspicion] : suspicions_.all()) {
     if (suspicions_.Over(suspicion, members_[at].heard, healthy, now)) {
       over.push_back(at);
-    } else if (suspicion.judge && now - suspicion.asked >= options_.period) {
+    } else if (suspicion.judge && now - suspicion.asked >= options_.period && ++asked <= kMostAsked) {
       suspicion.asked = now;
       Ask(at, /*judging=*/true, now);
     }
