--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -7,6 +7,7 @@
 #include <sstream>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 
 #include "cli/commands.h"
 #include "config/read.h"
@@ -34,11 +35,14 @@
   app.require_subcommand(0, 1);
   int exit_code = copperpoint::cli::kDone;
   copperpoint::cli::AddServe(app);
-  copperpoint::cli::AddConfig(app);
-  copperpoint::cli::AddLab(app, &exit_code);
-  copperpoint::cli::AddFleet(app, &exit_code);
-  copperpoint::cli::AddRig(app, &exit_code);
-  copperpoint::cli::AddVersion(app);
+  // A proxy's start does not pay for the options of all the rest.
+  if (argc < 2 || std::string_view(argv[1]) != "serve") {
+    copperpoint::cli::AddConfig(app);
+    copperpoint::cli::AddLab(app, &exit_code);
+    copperpoint::cli::AddFleet(app, &exit_code);
+    copperpoint::cli::AddRig(app, &exit_code);
+    copperpoint::cli::AddVersion(app);
+  }
   try {
     app.parse(argc, argv);
     if (app.get_subcommands().empty()) std::cout << app.help();
