--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cli/commands.h"
+#include "cli/fleet_view.h"
 #include "fleet/count.h"
 #include "lab/report/plot.h"
 
@@ -94,7 +95,7 @@
 
 void AddFleet(CLI::App& app, int* exit_code) {
   auto options = std::make_shared<FleetOptions>();
-  CLI::App* group = app.add_subcommand("fleet", "What a fleet of proxies did: count over their logs");
+  CLI::App* group = app.add_subcommand("fleet", "A fleet of proxies: its view of itself, and what it did");
   group->require_subcommand(1);
   CLI::App* count =
       group->add_subcommand("count", "Count over the logs of all proxies, a file each (docs/fleet.md)");
@@ -109,6 +110,7 @@
   count->add_option("--json", options->json, "Write all that was counted here");
   count->add_option("--plot", options->plots, "Draw it into this folder: SVG, and one HTML page");
   count->callback([options, exit_code] { *exit_code = Count(*options); });
+  AddFleetView(*group, exit_code);
 }
 
 }  // namespace copperpoint::cli
