--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -93,10 +93,11 @@
   if (!config_.state_folder.empty()) LookAfterState();
   if (config_.fleet.on()) {
     const auto zone = static_cast<std::size_t>(config_.settings.zone);
-    fleet_ = std::make_unique<FleetHost>(io, config_.fleet,
-                                         FleetSelf{config_.name, zone < config_.zones.size() ? config_.zones[zone] : "",
-                                                   COPPERPOINT_VERSION, config_.settings_version},
-                                         config_.seed ^ std::random_device()());
+    fleet_ = std::make_unique<FleetHost>(
+        io, config_.fleet,
+        FleetSelf{config_.name, zone < config_.zones.size() ? config_.zones[zone] : "", COPPERPOINT_VERSION,
+                  config_.settings_version},
+        config_.seed ^ std::random_device()());
     TellFleet();
   }
 }
--- a/src/rig/virtual.cpp
+++ b/src/rig/virtual.cpp
@@ -22,7 +22,7 @@
 using view::Time;
 
 constexpr char kCluster[] = "rig", kKey[] = "a key that only the rig has";
-constexpr double kExchangeRtts = 1.5;       // before the first frame is there
+constexpr double kExchangeRtts = 1.5;  // before the first frame is there
 
 double Seconds(Micros at) { return static_cast<double>(at) / 1e6; }
 
--- a/tests/rig/rig_test.cpp
+++ b/tests/rig/rig_test.cpp
@@ -9,6 +9,7 @@
 
 #include "config/read.h"
 #include "rig/plan.h"
+#include "rig/processes/service.h"
 #include "rig/virtual.h"
 #include "run_program.h"
 
@@ -132,25 +133,12 @@
   const std::string key = folder.Write("key", "a key of enough bytes");
   const std::string file = folder.Write(
       "o.toml", "[fleet]\ncluster = \"c\"\nlisten = \"127.0.0.1:1\"\nkey_file = \"" + key + "\"\n");
-  const std::string config = folder.Write(
-      "c.json",
-      nlohmann::json{
-          {"name", "n"},
-          {"listen", "127.0.0.1:0"},
-          {"discovery", "127.0.0.1:1"},
-          {"seed", "1"},
-          {"settings",
-           {{"balancers", 1},
-            {"classes", nlohmann::json::array({{{"name", "look"},
-                                                {"effect", "read_like"},
-                                                {"deadlineMs", 1000.0},
-                                                {"goalTimeMs", 500.0},
-                                                {"group", "cell"},
-                                                {"windowMs", 100.0}}})},
-            {"permissions", {{"connIdleMs", 60000.0}, {"connectTimeoutMs", 200.0}}},
-            {"rules",
-             {{"coldFrom", 0.2}, {"warmUpMs", 1000.0}, {"fallMultiple", 3.0}, {"overloadForMs", 1000.0}}}}}}
-          .dump());
+  const nlohmann::json json{{"name", "n"},
+                            {"listen", "127.0.0.1:0"},
+                            {"discovery", "127.0.0.1:1"},
+                            {"seed", "1"},
+                            {"settings", SettingsOf(Plan(), 0)}};
+  const std::string config = folder.Write("c.json", json.dump());
   ::chmod(key.c_str(), 0644);
   const Finished finished =
       RunProgram("/usr/bin/env", "ROUTER_CONFIG='" + config + "' '" + std::string(PROGRAM_PATH) +
