The stops of a starved member are drawn in one place for processes and virtual time

Cause: virtual.cpp and processes/play.cpp each had the same loop, so that one could drift from the other. Change: StopsOf in rig/plan; an accessor that nobody called is gone from view/prober.h.

--- a/src/rig/plan.cpp
+++ b/src/rig/plan.cpp
@@ -149,6 +149,17 @@
   return chosen;
 }
 
+std::vector<std::pair<double, double>> StopsOf(const Plan& plan, const Fault& fault, lab::Random& random) {
+  std::vector<std::pair<double, double>> stops;
+  const double until = fault.for_s > 0 ? fault.at_s + fault.for_s : plan.length_s;
+  for (double at = fault.at_s + random.Between(0, fault.most_ms) / 1000; at < until;) {
+    const double stop = random.Between(fault.least_ms, fault.most_ms) / 1000;
+    stops.emplace_back(at, at + stop);
+    at += stop + random.Between(fault.least_ms, fault.most_ms) / 1000;
+  }
+  return stops;
+}
+
 double LastFaultOver(const Plan& plan) {
   double over = plan.start_spread_s;
   for (const Fault& fault : plan.faults) over = std::max(over, fault.at_s + fault.for_s);
--- a/src/rig/plan.h
+++ b/src/rig/plan.h
@@ -7,9 +7,11 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "config/schema.h"
+#include "lab/core/random.h"
 #include "view/options.h"
 
 namespace copperpoint::rig {
@@ -97,6 +99,10 @@
 // Throws std::invalid_argument on a word that names none.
 std::vector<int> Chosen(const Plan& plan, const std::vector<std::string>& words, std::uint64_t seed);
 
+// From when to when one member stands still under a `starve`, in seconds: stops and pauses as long as each
+// other in the mean.
+std::vector<std::pair<double, double>> StopsOf(const Plan& plan, const Fault& fault, lab::Random& random);
+
 // When the last fault is over.
 double LastFaultOver(const Plan& plan);
 
--- a/src/rig/processes/play.cpp
+++ b/src/rig/processes/play.cpp
@@ -371,15 +371,11 @@
         Schedule(fault.at_s, [this, member] { Stop(member, true); });
         if (fault.for_s > 0) Schedule(until, [this, member] { Stop(member, false); });
         break;
-      default: {  // starve
-        double at = fault.at_s + random_.Between(0, fault.most_ms) / 1000;
-        while (at < until) {
-          const double stop = random_.Between(fault.least_ms, fault.most_ms) / 1000;
-          Schedule(at, [this, member] { Stop(member, true); });
-          Schedule(at + stop, [this, member] { Stop(member, false); });
-          at += stop + random_.Between(fault.least_ms, fault.most_ms) / 1000;
+      default:  // starve
+        for (const auto& [from, to] : StopsOf(plan_, fault, random_)) {
+          Schedule(from, [this, member] { Stop(member, true); });
+          Schedule(to, [this, member] { Stop(member, false); });
         }
-      }
     }
   }
 }
--- a/src/rig/virtual.cpp
+++ b/src/rig/virtual.cpp
@@ -270,17 +270,11 @@
           queue_.Push(queue_.now() + FromMs(fault.for_s * 1000), Rank::kNews, kContinue,
                       static_cast<std::uint32_t>(member), 0);
         break;
-      default: {  // starve: stops and pauses as long as each other in the mean
-        const double until = fault.for_s > 0 ? fault.at_s + fault.for_s : plan_.length_s;
-        double at = fault.at_s + random_.Between(0, fault.most_ms) / 1000;
-        while (at < until) {
-          const double stop = random_.Between(fault.least_ms, fault.most_ms) / 1000;
-          queue_.Push(FromMs(at * 1000), Rank::kNews, kStop, static_cast<std::uint32_t>(member), 0);
-          queue_.Push(FromMs((at + stop) * 1000), Rank::kNews, kContinue, static_cast<std::uint32_t>(member),
-                      0);
-          at += stop + random_.Between(fault.least_ms, fault.most_ms) / 1000;
+      default:  // starve
+        for (const auto& [from, to] : StopsOf(plan_, fault, random_)) {
+          queue_.Push(FromMs(from * 1000), Rank::kNews, kStop, static_cast<std::uint32_t>(member), 0);
+          queue_.Push(FromMs(to * 1000), Rank::kNews, kContinue, static_cast<std::uint32_t>(member), 0);
         }
-      }
     }
   }
 }
--- a/src/view/prober.h
+++ b/src/view/prober.h
@@ -26,7 +26,6 @@
   std::size_t Below(std::size_t n) {
     return boost::random::uniform_int_distribution<std::size_t>(0, n - 1)(engine_);
   }
-  boost::random::taus88& engine() { return engine_; }
 
  private:
   boost::random::taus88 engine_;
