Proxies of a zone divide the backends evenly by their view

Cause: where proxies keep to subsets, an arc of the ring begins by the proxy's number and the golden ratio. Change: src/subsets (deterministic aperture) tells the module a Position by the settled view; AddArc begins there. Room in the module: JudgeOverload is said where it is used. Without [fleet] nothing changes. The rig's stand-in backends count connections, new property connections_even.

--- a/include/copperpoint/balancer.h
+++ b/include/copperpoint/balancer.h
@@ -135,8 +135,13 @@
 struct Inherited {
   std::vector<Learnt> servers;
 };
-using Event =
-    std::variant<ListUpdate, Submit, StreamStarted, AttemptEnded, ClientGone, TimerFired, Inherited>;
+// Where this proxy stands among those that share the servers, where they tell each other (docs/view.md): the
+// place on the ring of servers at which its subset begins. Untold, it goes by Settings::me.
+struct Position {
+  double turn = 0;  // from 0 to below 1
+};
+using Event = std::variant<ListUpdate, Submit, StreamStarted, AttemptEnded, ClientGone, TimerFired, Inherited,
+                           Position>;
 
 // ---- actions ------------------------------------------------------------------------------------------
 struct Dispatch {
--- a/src/cli/rig.cpp
+++ b/src/cli/rig.cpp
@@ -24,7 +24,7 @@
 struct RigOptions {
   std::string file, json, folder = "lab/rig";
   std::uint64_t seed = 1;
-  int seeds = 1, members = 0, threads = 0;
+  int seeds = 1, members = 0, backends = 0, threads = 0;
   bool in_virtual_time = false, alone = false;
   std::string logs;
   std::vector<std::string> without;
@@ -40,6 +40,7 @@
 std::string Replay(const RigOptions& options, std::uint64_t seed) {
   std::string line = "copperpoint rig run " + options.file + " --seed " + std::to_string(seed);
   if (options.members) line += " --members " + std::to_string(options.members);
+  if (options.backends) line += " --backends " + std::to_string(options.backends);
   for (const std::string& part : options.without) line += " --without " + part;
   return line + (options.in_virtual_time ? " --virtual" : "");
 }
@@ -133,6 +134,7 @@
 int RunRig(const RigOptions& options) {
   rig::Plan plan = rig::ReadPlan(options.file);
   if (options.members > 0) plan.members = options.members;
+  if (options.backends > 0) plan.service.backends = options.backends;
   return options.in_virtual_time ? RunVirtual(options, plan) : RunProcesses(options, plan);
 }
 
@@ -161,6 +163,7 @@
   run->add_option("--seeds", options->seeds, "In virtual time: so many, from --seed on")
       ->check(CLI::Range(1, 1000000));
   run->add_option("--members", options->members, "Instead of the file's")->check(CLI::Range(1, 10000));
+  run->add_option("--backends", options->backends, "Instead of the file's")->check(CLI::Range(1, 500));
   run->add_option("--threads", options->threads, "Seeds at a time; 0: one a core")
       ->check(CLI::NonNegativeNumber);
   run->add_option("--without", options->without, "A part of the view switched off, to see what it is worth")
--- a/src/decision/balance.cpp
+++ b/src/decision/balance.cpp
@@ -366,9 +366,8 @@
   // Exception, subsetting, where this proxy's own traffic is too thin to judge the whole fleet: it picks
   // among as many servers as its traffic brings to the volume floor within kInterval, but no fewer than
   // kLeastSubset, those in service counted. Proxies stand evenly on a ring of the servers, by the golden
-  // ratio, so that any part of them covers it evenly; servers stand on it by a hash of their id. Without
-  // this, every proxy held a connection to every server, and hundreds of proxies exhausted what servers
-  // accept (incident i0f08a6).
+  // ratio or as they are told; servers stand on it by a hash of their id. Without this, hundreds of proxies
+  // with a connection to every server exhausted what servers accept (incident i0f08a6).
   void BuildSubset() {
     ring_.LeaveIf([this](ServerIndex i) { return !Usable(servers_[i]); });
     const std::vector<ServerIndex> before = std::exchange(subset_, {});
@@ -392,8 +391,7 @@
   }
 
   void AddArc(const std::vector<ServerIndex>& ring, std::size_t size) {
-    const double turns = settings_.me * kGoldenRatio;
-    const double start = (turns - std::floor(turns)) * static_cast<double>(ring.size());
+    const double start = turn_ * static_cast<double>(ring.size());
     std::size_t in_service = 0;
     for (std::size_t k = 0; k < ring.size() && in_service < size; ++k) {
       const ServerIndex i = ring[(static_cast<std::size_t>(start) + k) % ring.size()];
@@ -1026,6 +1024,11 @@
     FleetChanged();
   }
 
+  void On(const Position& e) {
+    turn_ = e.turn;
+    BuildSubset();
+  }
+
   void ReturnServers() {
     next_return_ = kNever;
     room_ = true;
@@ -1069,7 +1072,7 @@
       kinds_.Forget(Duration(elapsed));
       ResizeSubset();
       priority_.Forget(Duration(elapsed));
-      JudgeOverload(Duration(elapsed));
+      if (overload_.Judge(now_, Duration(elapsed), std::exchange(counts_, {}))) LogLine(overload_.Describe());
     }
     for (std::size_t t = 0; t < tenant_tokens_.size(); ++t) {
       const double rate = settings_.tenants[t].quota_per_s / settings_.balancers / 1000;
@@ -1080,10 +1083,6 @@
     room_ = true;  // cold budgets have moved on
   }
 
-  void JudgeOverload(Duration elapsed) {
-    if (overload_.Judge(now_, elapsed, std::exchange(counts_, {}))) LogLine(overload_.Describe());
-  }
-
   void Arm() {
     TimePoint at = std::min(asking_.at(), held_.empty() ? kNever : sample_at_);
     if (!wakeups_.empty()) at = std::min(at, wakeups_.begin()->first);
@@ -1118,9 +1117,10 @@
       gone_;                         // servers by when they went; stale entries are passed over
   std::vector<ServerIndex> chosen_;  // by the last picks on a large fleet
   std::size_t next_chosen_ = 0;
-  Ring ring_;                        // servers ready
-  std::vector<ServerIndex> subset_;  // those picked from
-  std::size_t judged_ = 0;           // servers that this proxy's traffic can judge
+  Ring ring_;                                                // servers ready
+  std::vector<ServerIndex> subset_;                          // those picked from
+  std::size_t judged_ = 0;                                   // servers that this proxy's traffic can judge
+  double turn_ = std::fmod(settings_.me * kGoldenRatio, 1);  // see Position
   KeyMemory key_memory_{kKeyMemory};
   Requests requests_;
   TimePoint last_answer_{}, heard_{};
--- a/src/lab/policies/policies.cpp
+++ b/src/lab/policies/policies.cpp
@@ -121,6 +121,7 @@
   }
   void On(const StreamStarted&) {}
   void On(const Inherited&) {}
+  void On(const Position&) {}
 
   bool Safe(const Open& open) const {
     return context_.settings.classes[open.submit.request_class].effect == Effect::kSafe;
--- a/src/lab/report/metrics.cpp
+++ b/src/lab/report/metrics.cpp
@@ -102,6 +102,12 @@
   return line;
 }
 
+void Metrics::ConnectionsLie(double mean, double mean_square) {
+  ++connections_samples_;
+  connections_mean_ += mean;
+  connections_cv_ += std::sqrt(std::max(0.0, mean_square / (mean * mean) - 1));
+}
+
 nlohmann::ordered_json Metrics::Json() const {
   nlohmann::ordered_json json{
       {"goodput", Rounded(Goodput())},
@@ -130,6 +136,8 @@
                     {"connect_failed", connect_failed},
                     {"resets", resets},
                     {"connections", connections},
+                    {"connections_cv", Rounded(connections_cv_ / std::max(1, connections_samples_))},
+                    {"connections_mean", Rounded(connections_mean_ / std::max(1, connections_samples_))},
                     {"cross_zone", cross_zone},
                     {"probes", probes},
                     {"unreachable", unreachable},
--- a/src/lab/report/metrics.h
+++ b/src/lab/report/metrics.h
@@ -53,6 +53,9 @@
   std::int64_t repeats_here = 0, recognised = 0, mistaken = 0;
   double executed_ms = 0, useful_ms = 0;
 
+  // One sample of the connections of each backend: their mean, and the mean of their squares.
+  void ConnectionsLie(double mean, double mean_square);
+
   double Goodput() const { return whole_.Share(); }
   double WorstClass() const { return Worst(classes_); }
   // The mix that the scenario's goal asks for, of 1.
@@ -74,6 +77,8 @@
   Window& At(Micros at);
 
   const Scenario& scenario_;
+  double connections_mean_ = 0, connections_cv_ = 0;  // summed over the samples
+  int connections_samples_ = 0;
   Worth whole_;
   std::vector<Worth> classes_, accounts_;
   std::vector<Window> windows_;
--- a/src/lab/run/run.cpp
+++ b/src/lab/run/run.cpp
@@ -10,6 +10,7 @@
 #include "lab/world/news.h"
 #include "lab/world/service.h"
 #include "lab/world/state.h"
+#include "lab/world/views.h"
 
 namespace copperpoint::lab {
 namespace {
@@ -26,7 +27,8 @@
         news_(s_, options.seed,
               [this](std::uint32_t proxy, Event event) { service_.Feed(proxy, std::move(event)); }),
         crowd_(s_, options.seed, [this](std::uint32_t slot) { service_.Take(slot); }),
-        fates_(s_, options.seed, service_, news_, crowd_) {
+        views_(s_, [this](std::uint32_t proxy, Event event) { service_.Feed(proxy, std::move(event)); }),
+        fates_(s_, options.seed, service_, news_, crowd_, views_) {
     service_.SetCrowd(&crowd_);
     s_.traced = options.trace;
     if (!options.logs.empty()) s_.logs.emplace(options.logs, options.log_format, s_.proxies.size());
@@ -35,6 +37,7 @@
   RunResult Play() {
     const auto began = std::chrono::steady_clock::now();
     for (std::uint32_t p = 0; p < s_.proxies.size(); ++p) service_.StartProxy(p, news_.List(p));
+    views_.Begin();
     fates_.Begin();
     crowd_.Begin();
     // By the end every client has its answer or has left; policies may set timers for ever.
@@ -135,6 +138,10 @@
         return fates_.OnStartProxy(due.a);
       case kFrontNotices:
         return crowd_.OnFrontNotices(due.a, due.b == 1);
+      case kViewTold:
+        return views_.OnTold();
+      case kSample:
+        return views_.OnSample();
     }
   }
 
@@ -163,6 +170,7 @@
   Service service_;
   News news_;
   Crowd crowd_;
+  Views views_;
   Fates fates_;
 };
 
--- a/src/lab/scenario/scenario.cpp
+++ b/src/lab/scenario/scenario.cpp
@@ -110,6 +110,13 @@
   v.Number("zone_skew", zone_skew,
            {.text = "the first zone's clients ask this share more than the others'", .most = 10});
   v.Whole32("cell_size", cell_size, {.text = "backends of a cell", .least = 1, .most = 100000});
+  v.Choice(
+      "positions", positions,
+      std::vector<std::pair<std::string, Positions>>{
+          {"number", Positions::kNumber}, {"chance", Positions::kChance}, {"view", Positions::kView}},
+      {.text = "by what proxies divide the backends: each one's number, chance, or a view of each other"});
+  v.Number("view_ms", view_ms,
+           {.text = "`view`: until they know that one of them came or went", .unit = "ms", .most = 1e6});
 }
 
 void Wires::Describe(config::Visitor& v) {
--- a/src/lab/scenario/scenario.h
+++ b/src/lab/scenario/scenario.h
@@ -93,12 +93,17 @@
   void Describe(config::Visitor& v);
 };
 
+// By what proxies that keep to subsets divide the backends.
+enum class Positions { kNumber, kChance, kView };
+
 struct Fleet {
   int backends = 12;
   int proxies = 3;
   int zones = 1;
   double zone_skew = 0;  // of the traffic: the first zone has this much more than its even share
   int cell_size = 4;
+  Positions positions = Positions::kNumber;
+  double view_ms = 3000;  // where they keep one: until they know that one of them came or went
 
   void Describe(config::Visitor& v);
 };
--- a/src/lab/world/fates.cpp
+++ b/src/lab/world/fates.cpp
@@ -13,8 +13,8 @@
 
 }  // namespace
 
-Fates::Fates(State& state, std::uint64_t seed, Service& service, News& news, Crowd& crowd)
-    : s_(state), random_(seed, "fates"), service_(service), news_(news), crowd_(crowd) {
+Fates::Fates(State& state, std::uint64_t seed, Service& service, News& news, Crowd& crowd, Views& views)
+    : s_(state), random_(seed, "fates"), service_(service), news_(news), crowd_(crowd), views_(views) {
   service_.on_crash = [this](std::uint32_t backend) { Crash(backend); };
 }
 
@@ -165,6 +165,7 @@
 
 void Fates::OnDrainProxy(std::uint32_t proxy) {
   s_.proxies[proxy].drained = true;
+  views_.Changed();
   double longest = 0;
   for (const RequestClass& c : s_.scenario.classes) longest = std::max(longest, c.deadline_ms);
   s_.queue.Push(s_.now() + FromMs(kFrontLeavesMs), Rank::kNews, kFrontNotices, proxy, 0);
@@ -175,6 +176,7 @@
 void Fates::OnStopProxy(std::uint32_t proxy, bool killed) {
   if (!s_.proxies[proxy].alive) return;
   service_.KillProxy(proxy);
+  views_.Changed();
   if (killed) {
     s_.queue.Push(s_.now() + FromMs(s_.scenario.clients.notice_ms), Rank::kNews, kFrontNotices, proxy, 0);
   } else {
@@ -185,6 +187,7 @@
 void Fates::OnStartProxy(std::uint32_t proxy) {
   if (s_.proxies[proxy].alive) return;
   service_.StartProxy(proxy, news_.List(proxy));
+  views_.Changed();
   s_.queue.Push(s_.now() + FromMs(kFrontLeavesMs), Rank::kNews, kFrontNotices, proxy, 1);
 }
 
--- a/src/lab/world/fates.h
+++ b/src/lab/world/fates.h
@@ -9,12 +9,13 @@
 #include "lab/world/news.h"
 #include "lab/world/service.h"
 #include "lab/world/state.h"
+#include "lab/world/views.h"
 
 namespace copperpoint::lab {
 
 class Fates {
  public:
-  Fates(State& state, std::uint64_t seed, Service& service, News& news, Crowd& crowd);
+  Fates(State& state, std::uint64_t seed, Service& service, News& news, Crowd& crowd, Views& views);
 
   void Begin();
   void OnTrouble(std::uint64_t trouble, bool begins);
@@ -40,6 +41,7 @@
   Service& service_;
   News& news_;
   Crowd& crowd_;
+  Views& views_;
 };
 
 }  // namespace copperpoint::lab
--- a/src/lab/world/state.h
+++ b/src/lab/world/state.h
@@ -61,6 +61,8 @@
   kStopProxy,
   kStartProxy,
   kFrontNotices,  // a: proxy, b: 1: it is there, 0: it is not
+  kViewTold,      // the view has settled after a change
+  kSample,
 };
 
 struct Attempt {
--- a/src/proxy/fleet/host.cpp
+++ b/src/proxy/fleet/host.cpp
@@ -75,12 +75,14 @@
 }
 
 FleetHost::FleetHost(boost::asio::io_context& io, const FleetSettings& settings, const FleetSelf& self,
-                     std::uint64_t seed) try
+                     std::uint64_t seed, std::function<void(double)> on_position) try
     : io_(io),
       listen_(Listen(settings)),
       cluster_(settings.cluster),
       seeds_(SeedsOf(settings)),
       view_(view::Options(), SealOf(settings), RecordOf(settings, self), seed, Now()),
+      subsets_(settings.subsets),
+      on_position_(std::move(on_position)),
       timer_(io) {
   Open();
 } catch (const std::invalid_argument& error) {
@@ -134,12 +136,19 @@
                          {"by", event.by},
                          {"silent_ms", static_cast<double>(event.silent.count()) / 1000}});
   }
+  if (subsets_) {
+    if (const std::optional<double> turn = positions_.Look(view_, Now())) {
+      log::Global().Info("fleet_position", {{"turn", *turn}});
+      turn_ = turn;
+      on_position_(*turn);
+    }
+  }
   Arm();
 }
 
 void FleetHost::Arm() {
   if (!transport_ || view_.silent()) return;
-  timer_.expires_at(Steady::time_point(view_.next()));
+  timer_.expires_at(Steady::time_point(std::min(view_.next(), positions_.next())));
   timer_.async_wait([this](const boost::system::error_code& cancelled) {
     if (cancelled) return;
     view_.OnTick(Now());
@@ -169,6 +178,7 @@
                               {"life", log::Hex(self.life())}, {"speaks", transport_ && !view_.silent()},
                               {"settled", view_.settled()},    {"view", log::Hex(view_.members().hash())},
                               {"doubt", view_.doubt()}};
+  if (turn_) json["position"] = *turn_;
   auto& members = json["members"] = nlohmann::ordered_json::array();
   view_.members().Each([&](int at, const view::Entry& entry) {
     const view::Record& record = *entry.record;
--- a/src/proxy/fleet/host.h
+++ b/src/proxy/fleet/host.h
@@ -8,12 +8,15 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "peers/transport.h"
 #include "proxy/fleet/settings.h"
+#include "subsets/position.h"
 #include "view/view.h"
 
 namespace copperpoint::proxy {
@@ -29,9 +32,10 @@
   static constexpr int kDescriptors = 18;
 
   // Throws BadConfig on a key or a list of seeds that cannot be used, or fields too long to tell. Where the
-  // address is still another process's, as in an upgrade, it waits for it.
+  // address is still another process's, as in an upgrade, it waits for it. `on_position` is called with the
+  // place on the ring of servers that this proxy takes among those of its zone, never from the constructor.
   FleetHost(boost::asio::io_context& io, const FleetSettings& settings, const FleetSelf& self,
-            std::uint64_t seed);
+            std::uint64_t seed, std::function<void(double turn)> on_position);
 
   void SetState(view::State state);
   void Leave();  // says goodbye, and gives its address free
@@ -48,6 +52,10 @@
   std::string cluster_;
   std::vector<std::string> seeds_;
   view::View view_;
+  const bool subsets_;
+  subsets::Positions positions_;
+  std::optional<double> turn_;  // the last position
+  std::function<void(double)> on_position_;
   std::unique_ptr<peers::Transport> transport_;
   boost::asio::steady_timer timer_;
   bool told_waiting_ = false, left_ = false;
--- a/src/proxy/fleet/settings.cpp
+++ b/src/proxy/fleet/settings.cpp
@@ -12,6 +12,8 @@
   v.Words("seeds", seeds, {.text = "addresses of members that are asked first; one that answers is enough"});
   v.Word("seeds_file", seeds_file, {}, {.text = "more of them, a line each"});
   v.Word("key_file", key_file, {}, {.text = "the secret that members share, 16 to 64 bytes, mode 0600"});
+  v.Flag("subsets", subsets,
+         {.text = "proxies of a zone divide the backends evenly by the view; off: each by its own number"});
   boost::asio::ip::udp::endpoint parsed;
   v.Check("listen", !on() || peers::ParseAddress(listen, &parsed), "is no ADDRESS:PORT");
   v.Check("advertise", advertise.empty() || peers::ParseAddress(advertise, &parsed), "is no ADDRESS:PORT");
--- a/src/proxy/fleet/settings.h
+++ b/src/proxy/fleet/settings.h
@@ -19,6 +19,8 @@
   std::string seeds_file;          // more of them, a line each
   std::string key_file;            // 16 to 64 bytes that all members share, mode 0600
 
+  bool subsets = true;  // the view tells this proxy which backends to keep to
+
   bool on() const { return !cluster.empty(); }
   void Describe(config::Visitor& v);
 };
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -97,7 +97,7 @@
         io, config_.fleet,
         FleetSelf{config_.name, zone < config_.zones.size() ? config_.zones[zone] : "", COPPERPOINT_VERSION,
                   config_.settings_version},
-        config_.seed ^ std::random_device()());
+        config_.seed ^ std::random_device()(), [this](double turn) { Feed(Position{turn}); });
     TellFleet();
   }
 }
--- a/src/rig/judge.cpp
+++ b/src/rig/judge.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace copperpoint::rig {
 namespace {
@@ -194,6 +195,21 @@
         result["refused"] = refusals_;
         if (!holds) story.push_back(fmt::format("{} datagrams were refused", refusals_));
         break;
+      case PropertyKind::kConnectionsEven: {
+        double sum = 0, squares = 0;
+        for (const int n : connections_) sum += n, squares += static_cast<double>(n) * n;
+        const double mean = sum / static_cast<double>(std::max<std::size_t>(1, connections_.size()));
+        const double mean_square =
+            squares / static_cast<double>(std::max<std::size_t>(1, connections_.size()));
+        const double deviation = std::sqrt(std::max(0.0, mean_square - mean * mean));
+        holds = sum > 0 && deviation <= property.bound * mean;
+        result["mean"] = mean;
+        result["deviation"] = deviation;
+        result["by_backend"] = connections_;
+        if (!holds)
+          story.push_back(fmt::format("connections {:.1f} in the mean, {:.2f} deviation", mean, deviation));
+        break;
+      }
     }
     result["holds"] = holds;
     verdict.holds &= holds;
--- a/src/rig/plan.cpp
+++ b/src/rig/plan.cpp
@@ -20,9 +20,10 @@
     {"stop", FaultKind::kStop},       {"starve", FaultKind::kStarve},   {"kill", FaultKind::kKill},
     {"leave", FaultKind::kLeave},     {"start", FaultKind::kStart}};
 const std::vector<std::pair<std::string, PropertyKind>> kProperties{
-    {"settles_within", PropertyKind::kSettlesWithin},  {"known_within", PropertyKind::kKnownWithin},
-    {"never_removed", PropertyKind::kNeverRemoved},    {"bytes_at_most", PropertyKind::kBytesAtMost},
-    {"served_at_least", PropertyKind::kServedAtLeast}, {"refused_some", PropertyKind::kRefusedSome}};
+    {"settles_within", PropertyKind::kSettlesWithin},    {"known_within", PropertyKind::kKnownWithin},
+    {"never_removed", PropertyKind::kNeverRemoved},      {"bytes_at_most", PropertyKind::kBytesAtMost},
+    {"served_at_least", PropertyKind::kServedAtLeast},   {"refused_some", PropertyKind::kRefusedSome},
+    {"connections_even", PropertyKind::kConnectionsEven}};
 
 template <typename Kind>
 std::string Word(const std::vector<std::pair<std::string, Kind>>& names, Kind kind) {
--- a/src/rig/plan.h
+++ b/src/rig/plan.h
@@ -49,8 +49,9 @@
   kKnownWithin,    // every end without a word is known to every member that lives on: seconds
   kNeverRemoved,   // at most `bound` times a member was taken for dead that lived and could be reached
   kBytesAtMost,  // a member's datagrams, each way, with 28 bytes of headers: bytes a second from `after_s` on
-  kServedAtLeast,  // share of the requests from `after_s` on that clients saw served (processes alone)
-  kRefusedSome,    // datagrams were refused, `bound` at least: the fault has worked
+  kServedAtLeast,    // share of the requests from `after_s` on that clients saw served (processes alone)
+  kRefusedSome,      // datagrams were refused, `bound` at least: the fault has worked
+  kConnectionsEven,  // at the end, connections by backend: their deviation over their mean is at most this
 };
 
 struct Property {
--- a/src/rig/processes/play.cpp
+++ b/src/rig/processes/play.cpp
@@ -445,6 +445,7 @@
   over_ = true;
   const double end = Now();
   clients_->Stop();
+  judge_.Connections(backends_->connections());
   for (Member& member : members_) member.child.reset();
   for (const Member& member : members_) {
     judge_.Refusals(static_cast<std::uint64_t>(member.refused + member.refused_before));
--- a/src/rig/processes/service.cpp
+++ b/src/rig/processes/service.cpp
@@ -40,7 +40,16 @@
 class StandInBackends::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(StandInBackends& owner, std::size_t backend, Tcp::socket socket)
-      : owner_(owner), backend_(backend), socket_(std::move(socket)), work_(owner.io_) {}
+      : owner_(owner),
+        backend_(backend),
+        socket_(std::move(socket)),
+        work_(owner.io_),
+        open_(owner.backends_[backend]->connections) {
+    ++*open_;
+  }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+  ~Connection() { --*open_; }
 
   void Read() {
     request_ = {};
@@ -77,6 +86,7 @@
   const std::size_t backend_;
   Tcp::socket socket_;
   asio::steady_timer work_;
+  const std::shared_ptr<int> open_;  // the loop may end after the owner
   beast::flat_buffer buffer_;
   http::request<http::string_body> request_;
   http::response<http::string_body> response_;
@@ -102,6 +112,12 @@
   });
 }
 
+std::vector<int> StandInBackends::connections() const {
+  std::vector<int> open;
+  for (const auto& backend : backends_) open.push_back(*backend->connections);
+  return open;
+}
+
 void StandInBackends::Ran(const std::string& id, bool unsafe, std::size_t backend) {
   ++executions_;
   if (unsafe)
--- a/src/rig/processes/service.h
+++ b/src/rig/processes/service.h
@@ -33,6 +33,7 @@
                   std::function<lab::Micros()> now);
   const std::vector<Tcp::endpoint>& addresses() const { return addresses_; }
   std::uint64_t executions() const { return executions_; }
+  std::vector<int> connections() const;  // open now, by backend
 
  private:
   class Connection;
@@ -40,6 +41,7 @@
     explicit Backend(boost::asio::io_context& io) : acceptor(io) {}
     Tcp::acceptor acceptor;
     int busy = 0;
+    std::shared_ptr<int> connections = std::make_shared<int>(0);
   };
   void Accept(std::size_t backend);
   void Ran(const std::string& id, bool unsafe, std::size_t backend);
--- a/src/rig/virtual.cpp
+++ b/src/rig/virtual.cpp
@@ -11,6 +11,7 @@
 #include "lab/core/random.h"
 #include "rig/judge.h"
 #include "rig/links.h"
+#include "subsets/position.h"
 #include "view/view.h"
 
 namespace copperpoint::rig {
@@ -23,6 +24,7 @@
 
 constexpr char kCluster[] = "rig", kKey[] = "a key that only the rig has";
 constexpr double kExchangeRtts = 1.5;  // before the first frame is there
+constexpr int kSubset = 8;             // backends that a proxy keeps to, as the module's least
 
 double Seconds(Micros at) { return static_cast<double>(at) / 1e6; }
 
@@ -62,6 +64,8 @@
     bool stopped = false;
     std::deque<std::pair<Kind, std::uint64_t>> waiting;  // what came while it stood still
     Micros wake = lab::kNeverMicros;
+    subsets::Positions positions;
+    int first = -1;  // backend of its subset; below 0: not known yet
     std::uint64_t hash = 0;
     bool counted = false;  // in `hashes_`
     std::uint64_t out_before = 0, in_before = 0;
@@ -83,6 +87,8 @@
     return found == addresses_.end() ? -1 : found->second;
   }
   void Recount(int member);
+  void Place(Node& node);
+  std::vector<int> Holders() const;  // by backend, how many keep to it
   void BeginFault(std::size_t index);
   void EndFault(std::size_t index);
   void Snapshot(bool close);
@@ -101,6 +107,8 @@
   std::vector<std::vector<int>> befalls_;  // by fault
   std::unordered_map<std::uint64_t, int> hashes_;
   int up_ = 0;
+  bool divides_ = false;            // the backends, by the view
+  std::uint64_t changed_over_ = 0;  // connections that members changed to other backends
   double rest_from_ = 0;
   std::uint64_t events_ = 0, suspicions_ = 0, refutations_ = 0, healed_ = 0;
   nlohmann::ordered_json timeline_ = nlohmann::ordered_json::array();
@@ -133,6 +141,8 @@
                                            draw.Bits(), Time(queue_.now()));
   node.stopped = false;
   node.wake = lab::kNeverMicros;
+  node.positions = subsets::Positions();
+  node.first = -1;
   ++up_;
   judge_.Started(Seconds(queue_.now()), member);
   node.view->Join(Time(queue_.now()), seeds_);
@@ -194,13 +204,35 @@
       judge_.SaidDead(Seconds(queue_.now()), member, MemberAt(event.name + ":1"));
   }
   Recount(member);
-  const Time next = node.view->next();
+  if (divides_) Place(node);
+  const Time next = std::min(node.view->next(), node.positions.next());
   if (next < Time(lab::kNeverMicros / 4) && next.count() < node.wake) {
     node.wake = std::max<Micros>(next.count(), queue_.now() + 1);
     queue_.Push(node.wake, Rank::kTimeout, kWake, static_cast<std::uint32_t>(member), node.life);
   }
 }
 
+void VirtualFleet::Place(Node& node) {
+  const std::optional<double> turn = node.positions.Look(*node.view, Time(queue_.now()));
+  if (!turn) return;
+  const int backends = plan_.service.backends;
+  const int before = std::exchange(node.first, static_cast<int>(*turn * backends));
+  if (before < 0) return;
+  const int apart = std::abs(node.first - before);
+  changed_over_ += static_cast<std::uint64_t>(
+      std::min({kSubset, apart, backends - apart, std::max(0, backends - kSubset)}));
+}
+
+std::vector<int> VirtualFleet::Holders() const {
+  std::vector<int> holders(static_cast<std::size_t>(plan_.service.backends));
+  for (const Node& node : nodes_) {
+    if (!node.view || node.first < 0) continue;
+    for (int k = 0; k < std::min(kSubset, plan_.service.backends); ++k)
+      ++holders[static_cast<std::size_t>(node.first + k) % holders.size()];
+  }
+  return holders;
+}
+
 void VirtualFleet::Datagram(int from, const std::string& to, std::string bytes) {
   const int target = MemberAt(to);
   if (target < 0 || random_.Chance(plan_.network.loss)) return;
@@ -363,8 +395,10 @@
                   static_cast<std::uint32_t>(i), 0);
   }
   rest_from_ = LastFaultOver(plan_);
-  for (const Property& property : plan_.properties)
+  for (const Property& property : plan_.properties) {
     if (property.kind == PropertyKind::kBytesAtMost && property.after_s >= 0) rest_from_ = property.after_s;
+    divides_ |= property.kind == PropertyKind::kConnectionsEven;
+  }
   queue_.Push(FromMs(rest_from_ * 1000), Rank::kNews, kSnapshot, 0, 0);
 
   const Micros end = FromMs(plan_.length_s * 1000);
@@ -383,6 +417,7 @@
     const auto& refused = node.view->counters().refused;
     for (std::size_t i = 1; i < refused.size(); ++i) judge_.Refusals(refused[i]);
   }
+  if (divides_) judge_.Connections(Holders());
   Judge::Verdict verdict = judge_.Close(plan_.length_s, /*with_service=*/false);
   Outcome outcome{verdict.holds, std::move(verdict.json), std::move(verdict.story)};
   outcome.json["seed"] = options_.seed;
@@ -392,6 +427,7 @@
   outcome.json["healed"] = healed_;
   outcome.json["news_shed"] = shed;
   outcome.json["most_doubt"] = doubt;
+  if (divides_) outcome.json["changed_over"] = changed_over_;
   outcome.json["events"] = queue_.taken();
   if (options_.timeline) outcome.json["views"] = std::move(timeline_);
   return outcome;
--- /dev/null
+++ b/src/subsets/position.cpp
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "subsets/position.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace copperpoint::subsets {
+
+std::optional<double> TurnAmong(const std::vector<Peer>& peers, const std::string& name) {
+  const auto me = std::find_if(peers.begin(), peers.end(), [&](const Peer& p) { return p.name == name; });
+  if (me == peers.end()) return std::nullopt;
+  // Names break ties, so that all rank alike.
+  const auto place = [](const std::string& of) { return std::pair(XXH64(of.data(), of.size(), 4), &of); };
+  const auto before = [](const auto& a, const auto& b) {
+    return a.first != b.first ? a.first < b.first : *a.second < *b.second;
+  };
+  const auto mine = place(name);
+  std::set<std::string_view> zones;
+  double rank = 0, of_zone = 0;
+  for (const Peer& peer : peers) {
+    zones.insert(peer.zone);
+    if (peer.zone != me->zone) continue;
+    ++of_zone;
+    rank += before(place(peer.name), mine);
+  }
+  const auto zone = static_cast<double>(std::distance(zones.begin(), zones.find(me->zone)));
+  return (rank + zone / static_cast<double>(zones.size())) / of_zone;
+}
+
+bool Positions::Serves(const view::Members& members, int at) {
+  // One that drains takes no more clients: it keeps its place like one that went.
+  return at != view::Members::kNone && members[at].living() &&
+         members[at].record->state() <= static_cast<std::uint32_t>(view::State::kServing);
+}
+
+std::optional<double> Positions::Look(const view::View& view, view::Time now) {
+  const bool changed = view.members().hash() != seen_;
+  if (!view.established() || view.silent() || (!changed && now < next_)) return std::nullopt;
+  seen_ = view.members().hash();
+  if (!std::exchange(pending_, true)) changed_ = now;
+  CountPlaces(view.members(), now);
+  // In doubt it stays where it is. The first position is taken at once: nothing moves by it yet.
+  const bool free = !turn_ || now >= moved_ + options_.hold;
+  const bool sure = view.settled() || now >= changed_ + options_.patience;
+  if (!free || !sure) {
+    next_ = std::min(next_, free ? now + options_.hold / 4 : moved_ + options_.hold);
+    return std::nullopt;
+  }
+  pending_ = false;
+  std::vector<Peer> peers;
+  peers.reserve(places_.size());
+  for (const auto& [name, place] : places_) peers.push_back({name, place.zone});
+  const std::optional<double> turn = TurnAmong(peers, view.self().name());
+  if (!turn || turn == turn_) return std::nullopt;
+  moved_ = now;
+  return turn_ = turn;
+}
+
+void Positions::CountPlaces(const view::Members& members, view::Time now) {
+  for (const int at : members.living()) {
+    if (Serves(members, at)) places_[members[at].record->name()] = {members[at].record->zone(), kHere};
+  }
+  next_ = view::Time::max();
+  for (auto of = places_.begin(); of != places_.end();) {
+    auto& [name, place] = *of;
+    if (place.until == kHere && !Serves(members, members.Find(name))) place.until = now + options_.keep;
+    if (place.until > now) next_ = std::min(next_, place.until);
+    of = place.until > now ? std::next(of) : places_.erase(of);
+  }
+}
+
+}  // namespace copperpoint::subsets
--- a/tests/large_fleet_test.cpp
+++ b/tests/large_fleet_test.cpp
@@ -130,5 +130,33 @@
   }
 }
 
+// Proxies that are told to stand evenly on the ring keep to subsets that cover it evenly, whatever their
+// numbers are; one that moves closes what it held.
+TEST(LargeFleet, ToldPositionsDivideTheServersEvenly) {
+  constexpr int kServers = 64, kProxies = 8;
+  std::map<ServerId, int> holders;
+  for (int proxy = 0; proxy < kProxies; ++proxy) {
+    Settings settings = Usual();
+    settings.balancers = 200;
+    settings.me = 3;  // all the same number
+    Rig rig(settings);
+    rig.Servers(kServers);
+    rig.Do(Position{static_cast<double>(proxy) / kProxies});
+    std::set<ServerId> used;
+    for (RequestId id = 1; id <= 400; ++id) {
+      const auto server = rig.Ask(id);
+      ASSERT_TRUE(server.has_value());
+      used.insert(*server);
+      rig.End(id, 0, *server, Outcome::kOk);
+    }
+    EXPECT_LE(used.size(), 8u);
+    for (const ServerId server : used) ++holders[server];
+    rig.Do(Position{static_cast<double>(proxy) / kProxies + 0.5 / kProxies});
+    EXPECT_GE(rig.Count<CloseIdle>(), 3);
+  }
+  EXPECT_EQ(holders.size(), static_cast<std::size_t>(kServers));
+  for (const auto& [server, n] : holders) EXPECT_EQ(n, 1) << server;
+}
+
 }  // namespace
 }  // namespace copperpoint::testing
--- a/tests/rig/rig_test.cpp
+++ b/tests/rig/rig_test.cpp
@@ -42,7 +42,8 @@
 }
 INSTANTIATE_TEST_SUITE_P(Files, Virtual,
                          ::testing::Values("join", "crash", "pause", "one_way_cut", "split",
-                                           "rolling_restart", "restart_faster", "loss", "islands"));
+                                           "rolling_restart", "restart_faster", "loss", "islands",
+                                           "subsets"));
 
 TEST(Virtual, TheSameSeedIsTheSameRunToTheByte) {
   const Plan plan = ReadPlan(File("loss"));
@@ -100,7 +101,7 @@
 }
 INSTANTIATE_TEST_SUITE_P(Files, Processes,
                          ::testing::Values("join", "crash", "pause", "one_way_cut", "split",
-                                           "rolling_restart"));
+                                           "rolling_restart", "subsets"));
 
 TEST(Rig, WhatDoesNotHoldIsToldWithALineThatReplaysIt) {
   const TemporaryFolder folder;
