copperpoint demo; the rig's backends freeze, fail, reset, and are cut off by proxy

Cause: the rig's stand-ins could only serve, and nobody could watch a run or break something in it by hand. Change: each proxy reaches each backend and its discovery at an address of its own (Troubles): freeze, fail, slow, reset, cut_service. holders_even counts proxies, not connections.

--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -24,6 +24,7 @@
 void AddConfig(CLI::App& app);
 void AddLab(CLI::App& app, int* exit_code);
 void AddFleet(CLI::App& app, int* exit_code);
+void AddDemo(CLI::App& app, int* exit_code);
 void AddRig(CLI::App& app, int* exit_code);
 void AddVersion(CLI::App& app);
 
--- a/src/rig/judge.h
+++ b/src/rig/judge.h
@@ -33,7 +33,7 @@
   void Bytes(double per_s_out, double per_s_in);  // of the busiest member, from its property's time on
   void Refusals(std::uint64_t datagrams) { refusals_ += datagrams; }
   void Served(std::uint64_t served, std::uint64_t asked);
-  void Connections(std::vector<int> by_backend) { connections_ = std::move(by_backend); }
+  void Holders(std::vector<int> by_backend) { holders_ = std::move(by_backend); }
   void Broke(const std::string& rule) { broken_.push_back(rule); }  // one of the rules of service
 
   struct Verdict {
@@ -71,7 +71,7 @@
   std::vector<std::pair<double, bool>> agreement_;
   double bytes_out_ = 0, bytes_in_ = 0;
   std::uint64_t served_ = 0, asked_ = 0, refusals_ = 0;
-  std::vector<int> connections_;
+  std::vector<int> holders_;  // proxies, by backend
   std::vector<std::string> broken_;
   struct Cut {
     double from = 0, to = 0;
--- a/src/rig/plan.h
+++ b/src/rig/plan.h
@@ -28,6 +28,12 @@
   kKill,       // it ends without a word, and is started again after `for_s` (0: never)
   kLeave,      // it ends in good order; the same
   kStart,      // it is started only now
+  // Of the service (processes alone). `who` are backends, or the proxies whose way to `to` is cut.
+  kFreeze,      // backends take requests and say nothing
+  kFail,        // `amount` of their requests fail at once
+  kSlow,        // they take `amount` times as long
+  kReset,       // `amount` of their requests find the connection reset, half of these after they ran
+  kCutService,  // nothing passes between the proxies `who` and `to`: backends, or `discovery`
 };
 
 struct Fault {
@@ -40,6 +46,7 @@
   double least_ms = 200, most_ms = 2000;
 
   bool OnLinks() const { return kind <= FaultKind::kCut; }
+  bool OnService() const { return kind >= FaultKind::kFreeze; }
   void Describe(config::Visitor& v);
 };
 
@@ -49,9 +56,10 @@
   kKnownWithin,    // every end without a word is known to every member that lives on: seconds
   kNeverRemoved,   // at most `bound` times a member was taken for dead that lived and could be reached
   kBytesAtMost,  // a member's datagrams, each way, with 28 bytes of headers: bytes a second from `after_s` on
-  kServedAtLeast,    // share of the requests from `after_s` on that clients saw served (processes alone)
-  kRefusedSome,      // datagrams were refused, `bound` at least: the fault has worked
-  kConnectionsEven,  // at the end, connections by backend: their deviation over their mean is at most this
+  kServedAtLeast,  // share of the requests from `after_s` on that clients saw served (processes alone)
+  kRefusedSome,    // datagrams were refused, `bound` at least: the fault has worked
+  kHoldersEven,    // at the end, proxies with a connection, by backend: their deviation over their mean is at
+                   // most this
 };
 
 struct Property {
@@ -100,6 +108,10 @@
 // Throws std::invalid_argument on a word that names none.
 std::vector<int> Chosen(const Plan& plan, const std::vector<std::string>& words, std::uint64_t seed);
 
+// The same of backends: "backends" (all), "b3", "b3-b5", "share:0.5"; and "discovery", which is kDiscovery.
+constexpr int kDiscovery = -1;
+std::vector<int> ChosenBackends(const Plan& plan, const std::vector<std::string>& words, std::uint64_t seed);
+
 // From when to when one member stands still under a `starve`, in seconds: stops and pauses as long as each
 // other in the mean.
 std::vector<std::pair<double, double>> StopsOf(const Plan& plan, const Fault& fault, lab::Random& random);
--- a/src/rig/processes/child.cpp
+++ b/src/rig/processes/child.cpp
@@ -83,4 +83,6 @@
 
 bool Child::running() const { return !impl_->over; }
 
+int Child::pid() const { return impl_->child.id(); }
+
 }  // namespace copperpoint::rig
--- a/src/rig/processes/child.h
+++ b/src/rig/processes/child.h
@@ -29,6 +29,7 @@
 
   void Signal(int signal);
   bool running() const;
+  int pid() const;
 
  private:
   class Impl;
--- /dev/null
+++ b/src/rig/processes/control.h
@@ -0,0 +1,33 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Takes commands for a rig that runs: POST /WHAT/WHO. It knows none of them.
+#ifndef COPPERPOINT_RIG_PROCESSES_CONTROL_H_
+#define COPPERPOINT_RIG_PROCESSES_CONTROL_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <string>
+
+namespace copperpoint::rig {
+
+class Control {
+ public:
+  // Says what was done; throws std::invalid_argument where it cannot be.
+  using Carry = std::function<std::string(const std::string& what, const std::string& who)>;
+
+  Control(boost::asio::io_context& io, const boost::asio::ip::address& address, Carry carry);
+  boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+
+ private:
+  class Call;
+  void Accept();
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  Carry carry_;
+};
+
+}  // namespace copperpoint::rig
+
+#endif  // COPPERPOINT_RIG_PROCESSES_CONTROL_H_
--- a/src/rig/processes/play.h
+++ b/src/rig/processes/play.h
@@ -5,18 +5,40 @@
 #define COPPERPOINT_RIG_PROCESSES_PLAY_H_
 
 #include <cstdint>
+#include <functional>
 #include <string>
+#include <vector>
 
 #include "rig/plan.h"
 #include "rig/virtual.h"
 
 namespace copperpoint::rig {
 
+// What a watcher is told of a run.
+struct LiveMember {
+  std::string name, listen, operator_address;
+  int pid = 0;
+  bool up = false;
+  std::size_t living = 0;  // that it sees
+};
+struct Live {
+  double at_s = 0;
+  std::string control;  // address that takes POST /WHAT/WHO; see `commands`
+  std::vector<LiveMember> members;
+  std::size_t views = 0;  // different ones among those up
+  // In the last second.
+  std::uint64_t asked = 0, served = 0, refused = 0, ejections = 0;
+  std::vector<std::uint64_t> runs;  // by backend
+};
+
 struct ProcessOptions {
   std::string program;  // whose `serve` is started
   std::string logs;     // a folder for the members' logs; empty: none are kept
   std::uint64_t seed = 1;
   bool sharing = true;  // false: the proxies know nothing of each other
+  // Called once all members were started, and then once a second. Commands are taken then: kill, start, stop,
+  // go, cut, heal for a member (`p2`), freeze, thaw, fail, mend for a backend (`b3`).
+  std::function<void(const Live&)> watch;
 };
 
 struct ProcessOutcome {
--- a/src/rig/processes/service.h
+++ b/src/rig/processes/service.h
@@ -21,45 +21,55 @@
 #include "lab/core/random.h"
 #include "lab/world/observer.h"
 #include "rig/plan.h"
+#include "rig/processes/troubles.h"
 
 namespace copperpoint::rig {
 
 using Tcp = boost::asio::ip::tcp;
 
+// Each proxy reaches each backend at an address of its own, so that the rig knows who asks, and can cut them
+// off from each other. Through a cut connections still come up (that is the kernel's doing), and then nothing
+// passes until it is over.
 class StandInBackends {
  public:
-  StandInBackends(boost::asio::io_context& io, const Service& service,
-                  const boost::asio::ip::address& address, lab::Observer& observer,
+  StandInBackends(boost::asio::io_context& io, const Plan& plan, std::uint64_t seed,
+                  const boost::asio::ip::address& address, const Troubles& troubles, lab::Observer& observer,
                   std::function<lab::Micros()> now);
-  const std::vector<Tcp::endpoint>& addresses() const { return addresses_; }
+  const std::vector<Tcp::endpoint>& addresses(int proxy) const {
+    return addresses_[static_cast<std::size_t>(proxy)];
+  }
   std::uint64_t executions() const { return executions_; }
-  std::vector<int> connections() const;  // open now, by backend
+  std::vector<int> holders() const;  // by backend: proxies with a connection to it
+  std::uint64_t executions(int backend) const { return backends_[static_cast<std::size_t>(backend)].runs; }
 
  private:
   class Connection;
   struct Backend {
-    explicit Backend(boost::asio::io_context& io) : acceptor(io) {}
-    Tcp::acceptor acceptor;
     int busy = 0;
-    std::shared_ptr<int> connections = std::make_shared<int>(0);
+    std::uint64_t runs = 0;
+    std::shared_ptr<std::vector<int>> connections;  // by proxy; they may end after the owner
   };
-  void Accept(std::size_t backend);
-  void Ran(const std::string& id, bool unsafe, std::size_t backend);
+  void Accept(int proxy, int backend, Tcp::acceptor& acceptor);
+  void Ran(const std::string& id, bool unsafe, int backend);
 
   boost::asio::io_context& io_;
   const Service& service_;
+  const Troubles& troubles_;
+  lab::Random random_;
   lab::Observer& observer_;
   std::function<lab::Micros()> now_;
-  std::vector<std::unique_ptr<Backend>> backends_;
-  std::vector<Tcp::endpoint> addresses_;
+  std::vector<Backend> backends_;
+  std::vector<std::vector<Tcp::endpoint>> addresses_;
+  std::vector<std::unique_ptr<Tcp::acceptor>> acceptors_;
   std::unordered_map<std::string, int> runs_;
   std::uint64_t executions_ = 0;
 };
 
+// One proxy's.
 class StandInDiscovery {
  public:
   StandInDiscovery(boost::asio::io_context& io, const boost::asio::ip::address& address,
-                   const nlohmann::json& list);
+                   const nlohmann::json& list, std::function<bool()> cut);
   Tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
  private:
@@ -69,6 +79,7 @@
   boost::asio::io_context& io_;
   Tcp::acceptor acceptor_;
   std::string line_;
+  std::function<bool()> cut_;
 };
 
 class Clients {
