The rig replaces a member's program; old and next format live side by side as processes

Cause: the format's promise to the next version was shown on recorded datagrams alone, and a stage of a rolling change needs a member that comes back as another program. Change: fault replace (--other PROGRAM); the tests build copperpoint_next, the same objects with version 2 of the frame and a field unknown to this one.

--- a/src/cli/rig.cpp
+++ b/src/cli/rig.cpp
@@ -26,7 +26,7 @@
   std::uint64_t seed = 1;
   int seeds = 1, members = 0, backends = 0, threads = 0;
   bool in_virtual_time = false, alone = false;
-  std::string logs;
+  std::string logs, other;
   std::vector<std::string> without;
 };
 
@@ -112,6 +112,7 @@
   rig::ProcessOptions run;
   run.program = std::filesystem::read_symlink("/proc/self/exe").string();
   run.logs = options.logs;
+  run.other = options.other;
   run.seed = options.seed;
   run.sharing = !options.alone;
   const rig::ProcessOutcome result = rig::PlayProcesses(plan, run);
@@ -170,6 +171,8 @@
       ->check(CLI::IsMember({"suspicion", "own_time", "helpers", "sync"}));
   run->add_flag("--virtual", options->in_virtual_time, "In virtual time, with the same protocol objects");
   run->add_flag("--alone", options->alone, "Processes that know nothing of each other, for comparison");
+  run->add_option("--other", options->other, "The program that `replace` puts in place of this one")
+      ->check(CLI::ExistingFile);
   run->add_option("--logs", options->logs, "Keep the members' logs in this folder");
   run->add_option("--json", options->json, "Write the result here");
   run->callback([options, exit_code] { *exit_code = RunRig(*options); });
--- a/src/peers/frame.cpp
+++ b/src/peers/frame.cpp
@@ -10,6 +10,16 @@
 
 namespace copperpoint::peers {
 
+// A test builds a program that writes the version to come, with a field that this one does not know, and
+// starts both side by side.
+#ifdef COPPERPOINT_NEXT_FORMAT
+extern const std::uint8_t kVersion = 2, kLeastVersion = 1;
+constexpr char kUnknownField[] = "\xa2\x06\x04next";  // field 100, four bytes
+#else
+extern const std::uint8_t kVersion = 1, kLeastVersion = 1;
+constexpr char kUnknownField[] = "";
+#endif
+
 const char* NameOf(Refusal refusal) {
   switch (refusal) {
     case Refusal::kNone:
@@ -54,6 +64,7 @@
   bytes[3] = static_cast<char>(least);
   std::memcpy(bytes.data() + 4, &cluster_, 4);
   bytes += body;
+  bytes += kUnknownField;
   const auto digest = Digest(bytes);
   std::memcpy(bytes.data() + 8, digest.data(), digest.size());
   return bytes;
--- a/src/peers/frame.h
+++ b/src/peers/frame.h
@@ -22,8 +22,8 @@
 
 namespace copperpoint::peers {
 
-inline constexpr std::uint8_t kVersion = 1;
-inline constexpr std::uint8_t kLeastVersion = 1;  // that a reader of our messages has to know
+extern const std::uint8_t kVersion;       // that this program writes, and the newest that it reads
+extern const std::uint8_t kLeastVersion;  // that a reader of our messages has to know
 inline constexpr std::size_t kHeader = 24;
 inline constexpr std::size_t kMostDatagram = 1200;  // bytes, header and all
 inline constexpr std::size_t kMostFrame = 8 * 1024 * 1024;
@@ -49,8 +49,8 @@
 
   std::string Close(const wire::Message& message) const { return Close(message.SerializeAsString()); }
   // `body` is a serialized message; the versions are for tests of what is to come.
-  std::string Close(std::string_view body, std::uint8_t version = kVersion,
-                    std::uint8_t least = kLeastVersion) const;
+  std::string Close(std::string_view body) const { return Close(body, kVersion, kLeastVersion); }
+  std::string Close(std::string_view body, std::uint8_t version, std::uint8_t least) const;
   Refusal Open(std::string_view bytes, wire::Message* message) const;
 
  private:
--- a/src/rig/plan.cpp
+++ b/src/rig/plan.cpp
@@ -15,15 +15,23 @@
 namespace copperpoint::rig {
 namespace {
 
-const std::vector<std::pair<std::string, FaultKind>> kFaults{
-    {"loss", FaultKind::kLoss},           {"delay", FaultKind::kDelay},
-    {"duplicate", FaultKind::kDuplicate}, {"reorder", FaultKind::kReorder},
-    {"corrupt", FaultKind::kCorrupt},     {"cut", FaultKind::kCut},
-    {"stop", FaultKind::kStop},           {"starve", FaultKind::kStarve},
-    {"kill", FaultKind::kKill},           {"leave", FaultKind::kLeave},
-    {"start", FaultKind::kStart},         {"freeze", FaultKind::kFreeze},
-    {"fail", FaultKind::kFail},           {"slow", FaultKind::kSlow},
-    {"reset", FaultKind::kReset},         {"cut_service", FaultKind::kCutService}};
+const std::vector<std::pair<std::string, FaultKind>> kFaults{{"loss", FaultKind::kLoss},
+                                                             {"delay", FaultKind::kDelay},
+                                                             {"duplicate", FaultKind::kDuplicate},
+                                                             {"reorder", FaultKind::kReorder},
+                                                             {"corrupt", FaultKind::kCorrupt},
+                                                             {"cut", FaultKind::kCut},
+                                                             {"stop", FaultKind::kStop},
+                                                             {"starve", FaultKind::kStarve},
+                                                             {"kill", FaultKind::kKill},
+                                                             {"leave", FaultKind::kLeave},
+                                                             {"replace", FaultKind::kReplace},
+                                                             {"start", FaultKind::kStart},
+                                                             {"freeze", FaultKind::kFreeze},
+                                                             {"fail", FaultKind::kFail},
+                                                             {"slow", FaultKind::kSlow},
+                                                             {"reset", FaultKind::kReset},
+                                                             {"cut_service", FaultKind::kCutService}};
 const std::vector<std::pair<std::string, PropertyKind>> kProperties{
     {"settles_within", PropertyKind::kSettlesWithin},  {"known_within", PropertyKind::kKnownWithin},
     {"never_removed", PropertyKind::kNeverRemoved},    {"bytes_at_most", PropertyKind::kBytesAtMost},
--- a/src/rig/plan.h
+++ b/src/rig/plan.h
@@ -28,6 +28,8 @@
   kKill,       // it ends without a word, and is started again after `for_s` (0: never)
   kLeave,      // it ends in good order; the same
   kStart,      // it is started only now
+  kReplace,  // it ends in good order, and the other program (`--other`) is started in its place; from 0 s on:
+             // it begins with that one
   // Of the service (processes alone). `who` are backends, or the proxies whose way to `to` is cut.
   kFreeze,      // backends take requests and say nothing
   kFail,        // `amount` of their requests fail at once
--- a/src/rig/processes/play.cpp
+++ b/src/rig/processes/play.cpp
@@ -46,6 +46,7 @@
 
 constexpr double kHeaders = 28;                        // bytes of IP and UDP around a datagram
 constexpr std::chrono::milliseconds kLook{100};        // between looks at all views
+constexpr std::chrono::milliseconds kLookAtEnd{20};    // whether a process has ended
 constexpr std::chrono::milliseconds kLookAnswer{400};  // for one proxy's answer
 constexpr std::chrono::milliseconds kMostLate{300};    // of the rig's own timers
 constexpr std::chrono::milliseconds kFrontNotices{
@@ -89,6 +90,7 @@
     std::uint64_t life = 0;
     bool up = false, stopped = false;
     bool ending = false, killed = false;  // the rig has ended this process
+    bool other = false;                   // it runs the other program
     Clock::time_point ready{};            // when it said so last, or was continued
     Tcp::endpoint listen, op;
     Udp::endpoint inside, outside;
@@ -112,6 +114,8 @@
   void Start(int member);
   void End(int member, bool with_a_word);
   void Stop(int member, bool stop);
+  void Replace(int member, bool other);
+  void StartOnceOver(int member);
   void OnLine(int member, const std::string& line);
   void OnEnd(int member, std::uint64_t life, int status);
   void Schedule(double at_s, std::function<void()> what);
@@ -304,7 +308,8 @@
   member.stopped = member.ending = member.killed = false;
   judge_.Started(Now(), number);
   member.child = std::make_unique<Child>(
-      io_, options_.program, std::vector<std::string>{"serve", "--config", base + "/operator.toml"},
+      io_, member.other && !options_.other.empty() ? options_.other : options_.program,
+      std::vector<std::string>{"serve", "--config", base + "/operator.toml"},
       std::map<std::string, std::string>{{"ROUTER_CONFIG", base + "/config.json"}, {"TMPDIR", base + "/tmp"}},
       [this, number](const std::string& line) { OnLine(number, line); },
       [this, number, life](int status) { OnEnd(number, life, status); });
@@ -359,6 +364,19 @@
   stop ? judge_.Stopped(Now(), number) : judge_.Continued(Now(), number);
 }
 
+void ProcessFleet::Replace(int number, bool other) {
+  At(number).other = other;
+  if (!At(number).child) return;  // it begins so
+  End(number, /*with_a_word=*/true);
+  StartOnceOver(number);
+}
+
+void ProcessFleet::StartOnceOver(int number) {
+  if (!At(number).child->running()) return Start(number);
+  Schedule(Now() + std::chrono::duration<double>(kLookAtEnd).count(),
+           [this, number] { StartOnceOver(number); });
+}
+
 void ProcessFleet::Schedule(double at_s, std::function<void()> what) {
   const auto due = began_ + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(at_s));
   timers_.push_back(std::make_unique<asio::steady_timer>(io_, due));
@@ -383,6 +401,14 @@
         Schedule(fault.at_s, [this, member, &fault] { End(member, fault.kind == FaultKind::kLeave); });
         if (fault.for_s > 0) Schedule(until, [this, member] { Start(member); });
         break;
+      case FaultKind::kReplace:
+        if (fault.at_s <= 0) {
+          At(member).other = true;
+        } else {
+          Schedule(fault.at_s, [this, member] { Replace(member, true); });
+        }
+        if (fault.for_s > 0) Schedule(until, [this, member] { Replace(member, false); });
+        break;
       case FaultKind::kStart:
         Schedule(fault.at_s, [this, member] { Start(member); });
         break;
--- a/src/rig/virtual.cpp
+++ b/src/rig/virtual.cpp
@@ -24,6 +24,7 @@
 
 constexpr char kCluster[] = "rig", kKey[] = "a key that only the rig has";
 constexpr double kExchangeRtts = 1.5;      // before the first frame is there
+constexpr Micros kReplaceTakes = 300'000;  // from one process's end to the next one's start
 constexpr std::size_t kSocketHolds = 200;  // datagrams that wait for a process that stands still
 constexpr int kSubset = 8;                 // backends that a proxy keeps to, as the module's least
 
@@ -296,6 +297,11 @@
       case FaultKind::kLeave:
         End(member, true);
         break;
+      case FaultKind::kReplace:
+        if (fault.at_s <= 0) break;
+        End(member, true);
+        queue_.Push(queue_.now() + kReplaceTakes, Rank::kNews, kStart, static_cast<std::uint32_t>(member), 0);
+        break;
       case FaultKind::kStart:
         Start(member);
         break;
@@ -317,6 +323,12 @@
 void VirtualFleet::EndFault(std::size_t index) {
   const Fault& fault = plan_.faults[index];
   if (fault.OnLinks()) return links_.End(fault);
+  if (fault.kind == FaultKind::kReplace) {
+    for (const int member : befalls_[index]) {
+      End(member, true);
+      queue_.Push(queue_.now() + kReplaceTakes, Rank::kNews, kStart, static_cast<std::uint32_t>(member), 0);
+    }
+  }
   if (fault.kind == FaultKind::kKill || fault.kind == FaultKind::kLeave)
     for (const int member : befalls_[index]) Start(member);
 }
