--- a/src/proxy/fleet/host.h
+++ b/src/proxy/fleet/host.h
@@ -33,7 +33,8 @@
 
   // Throws BadConfig on a key or a list of seeds that cannot be used, or fields too long to tell. Where the
   // address is still another process's, as in an upgrade, it waits for it. `on_position` is called with the
-  // place on the ring of servers that this proxy takes among those of its zone; by one without seeds from the constructor on.
+  // place on the ring of servers that this proxy takes among those of its zone; where there are no seeds,
+  // from the constructor on.
   FleetHost(boost::asio::io_context& io, const FleetSettings& settings, const FleetSelf& self,
             std::uint64_t seed, std::function<void(double turn)> on_position);
 
