--- a/src/rig/processes/play.cpp
+++ b/src/rig/processes/play.cpp
@@ -52,6 +52,8 @@
 constexpr std::chrono::milliseconds kFrontNotices{
     100};  // until no client is sent to a process that has ended
 
+std::string TextOf(const Tcp::endpoint& e) { return peers::TextOf({e.address(), e.port()}); }
+
 // A folder that goes with the run.
 class Folder {
  public:
@@ -120,6 +122,9 @@
   void OnEnd(int member, std::uint64_t life, int status);
   void Schedule(double at_s, std::function<void()> what);
   void ScheduleFault(const Fault& fault);
+  // Of those that befall no process: on links between members, or on the service.
+  void BeginBetween(const Fault& fault) { fault.OnLinks() ? links_.Begin(fault) : troubles_.Begin(fault); }
+  void EndBetween(const Fault& fault) { fault.OnLinks() ? links_.End(fault) : troubles_.End(fault); }
   void Watch();
   std::string Carry(const std::string& what, const std::string& who);
   void LookAtAll();
@@ -236,7 +241,7 @@
     const auto& addresses = backends_->addresses(member);
     for (std::size_t i = 0; i < addresses.size(); ++i) {
       list["members"].push_back({{"id", fmt::format("b{}", i + 1)},
-                                 {"host_port", peers::TextOf({addresses[i].address(), addresses[i].port()})},
+                                 {"host_port", TextOf(addresses[i])},
                                  {"locality", ZoneName(plan_, static_cast<int>(i))},
                                  {"flavor", "m"},
                                  {"cell", 0},
@@ -270,12 +275,11 @@
   const Member& member = At(number);
   const std::string base = folder_.path + "/" + MemberName(number);
   std::filesystem::create_directory(base);
-  const auto text = [](const Tcp::endpoint& e) { return peers::TextOf({e.address(), e.port()}); };
   const nlohmann::json config{
       {"name", MemberName(number)},
-      {"listen", text(member.listen)},
-      {"operator", text(member.op)},
-      {"discovery", text(member.discovery->address())},
+      {"listen", TextOf(member.listen)},
+      {"operator", TextOf(member.op)},
+      {"discovery", TextOf(member.discovery->address())},
       {"seed", fmt::format("{:x}", options_.seed * 1000 + static_cast<std::uint64_t>(number))},
       {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
       {"settings", SettingsOf(plan_, number)}};
@@ -390,8 +394,8 @@
 void ProcessFleet::ScheduleFault(const Fault& fault) {
   const double until = fault.for_s > 0 ? fault.at_s + fault.for_s : plan_.length_s;
   if (fault.OnLinks() || fault.OnService()) {
-    Schedule(fault.at_s, [&] { fault.OnLinks() ? links_.Begin(fault) : troubles_.Begin(fault); });
-    if (fault.for_s > 0) Schedule(until, [&] { fault.OnLinks() ? links_.End(fault) : troubles_.End(fault); });
+    Schedule(fault.at_s, [&] { BeginBetween(fault); });
+    if (fault.for_s > 0) Schedule(until, [&] { EndBetween(fault); });
     return;
   }
   for (const int member : Chosen(plan_, fault.who, options_.seed)) {
@@ -428,11 +432,10 @@
 void ProcessFleet::Watch() {
   Live live;
   live.at_s = Now();
-  live.control = peers::TextOf({control_->address().address(), control_->address().port()});
+  live.control = TextOf(control_->address());
   for (int i = 0; i < plan_.members; ++i) {
     const Member& member = At(i);
-    const auto text = [](const Tcp::endpoint& e) { return peers::TextOf({e.address(), e.port()}); };
-    live.members.push_back({MemberName(i), text(member.listen), text(member.op),
+    live.members.push_back({MemberName(i), TextOf(member.listen), TextOf(member.op),
                             member.child && member.child->running() ? member.child->pid() : 0,
                             member.up && !member.stopped, member.living});
   }
@@ -480,9 +483,9 @@
   if (begins) {
     fault.OnService() ? ChosenBackends(plan_, {who}, 1) : Chosen(plan_, {who}, 1);  // throws if it is none
     const Fault& kept = commanded_.emplace_back(fault);
-    kept.OnLinks() ? links_.Begin(kept) : troubles_.Begin(kept);
+    BeginBetween(kept);
   } else {
-    found->OnLinks() ? links_.End(*found) : troubles_.End(*found);
+    EndBetween(*found);
     commanded_.erase(found);
   }
   return what + " " + who;
--- a/src/rig/processes/service.cpp
+++ b/src/rig/processes/service.cpp
@@ -167,8 +167,13 @@
   return holders;
 }
 
+std::uint64_t StandInBackends::executions() const {
+  std::uint64_t all = 0;
+  for (const Backend& backend : backends_) all += backend.runs;
+  return all;
+}
+
 void StandInBackends::Ran(const std::string& id, bool unsafe, int backend) {
-  ++executions_;
   ++backends_[static_cast<std::size_t>(backend)].runs;
   if (unsafe)
     observer_.Ran(now_(), std::strtoull(id.c_str(), nullptr, 16), static_cast<std::uint32_t>(backend),
--- a/src/rig/processes/service.h
+++ b/src/rig/processes/service.h
@@ -38,7 +38,7 @@
   const std::vector<Tcp::endpoint>& addresses(int proxy) const {
     return addresses_[static_cast<std::size_t>(proxy)];
   }
-  std::uint64_t executions() const { return executions_; }
+  std::uint64_t executions() const;  // at all backends
   std::vector<int> holders() const;  // by backend: proxies with a connection to it
   std::uint64_t executions(int backend) const { return backends_[static_cast<std::size_t>(backend)].runs; }
 
@@ -62,7 +62,6 @@
   std::vector<std::vector<Tcp::endpoint>> addresses_;
   std::vector<std::unique_ptr<Tcp::acceptor>> acceptors_;
   std::unordered_map<std::string, int> runs_;
-  std::uint64_t executions_ = 0;
 };
 
 // One proxy's.
--- a/src/rig/virtual.cpp
+++ b/src/rig/virtual.cpp
@@ -77,6 +77,7 @@
   Node& At(int member) { return nodes_[static_cast<std::size_t>(member)]; }
   void Start(int member);
   void End(int member, bool with_a_word);
+  void Replace(int member);
   void Run(const lab::Due& due);
   void Deliver(Kind kind, std::uint64_t message);
   void After(int member);
@@ -284,6 +285,11 @@
   After(member);
 }
 
+void VirtualFleet::Replace(int member) {
+  End(member, /*with_a_word=*/true);
+  queue_.Push(queue_.now() + kReplaceTakes, Rank::kNews, kStart, static_cast<std::uint32_t>(member), 0);
+}
+
 void VirtualFleet::BeginFault(std::size_t index) {
   const Fault& fault = plan_.faults[index];
   const std::vector<int>& members = befalls_[index];
@@ -299,8 +305,7 @@
         break;
       case FaultKind::kReplace:
         if (fault.at_s <= 0) break;
-        End(member, true);
-        queue_.Push(queue_.now() + kReplaceTakes, Rank::kNews, kStart, static_cast<std::uint32_t>(member), 0);
+        Replace(member);
         break;
       case FaultKind::kStart:
         Start(member);
@@ -324,10 +329,7 @@
   const Fault& fault = plan_.faults[index];
   if (fault.OnLinks()) return links_.End(fault);
   if (fault.kind == FaultKind::kReplace) {
-    for (const int member : befalls_[index]) {
-      End(member, true);
-      queue_.Push(queue_.now() + kReplaceTakes, Rank::kNews, kStart, static_cast<std::uint32_t>(member), 0);
-    }
+    for (const int member : befalls_[index]) Replace(member);
   }
   if (fault.kind == FaultKind::kKill || fault.kind == FaultKind::kLeave)
     for (const int member : befalls_[index]) Start(member);
