--- a/src/cli/rig.cpp
+++ b/src/cli/rig.cpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "cli/commands.h"
+#include "cli/rig_plot.h"
 #include "rig/plan.h"
 #include "rig/processes/play.h"
 #include "rig/virtual.h"
@@ -25,7 +26,7 @@
   std::string file, json, folder = "lab/rig";
   std::uint64_t seed = 1;
   int seeds = 1, members = 0, backends = 0, threads = 0;
-  bool in_virtual_time = false, alone = false;
+  bool in_virtual_time = false, alone = false, settled = false;
   std::string logs, other;
   std::vector<std::string> without;
 };
@@ -40,11 +41,20 @@
 std::string Replay(const RigOptions& options, std::uint64_t seed) {
   std::string line = "copperpoint rig run " + options.file + " --seed " + std::to_string(seed);
   if (options.members) line += " --members " + std::to_string(options.members);
+  if (options.settled) line += " --settled";
   if (options.backends) line += " --backends " + std::to_string(options.backends);
   for (const std::string& part : options.without) line += " --without " + part;
   return line + (options.in_virtual_time ? " --virtual" : "");
 }
 
+// Tells this result from others in a picture.
+std::string Label(const RigOptions& options) {
+  std::string label = std::filesystem::path(options.file).stem().string();
+  if (options.members) label += ", " + std::to_string(options.members);
+  for (const std::string& part : options.without) label += ", without " + part;
+  return label;
+}
+
 void Tell(const RigOptions& options, std::uint64_t seed, const rig::Outcome& outcome) {
   for (const std::string& line : outcome.story) std::cout << "  " << line << '\n';
   if (!outcome.holds) std::cout << "  replay: " << Replay(options, seed) << '\n';
@@ -58,6 +68,7 @@
       rig::VirtualOptions run;
       run.seed = options.seed + i;
       run.timeline = options.seeds == 1;
+      run.settled = options.settled;
       for (const std::string& part : options.without) Switch(part, &run.view);
       outcomes[i] = rig::PlayVirtual(plan, run);
     }
@@ -99,8 +110,11 @@
   }
   std::cout << options.file << ": " << outcomes.size() - static_cast<std::size_t>(failed) << " of "
             << outcomes.size() << " seeds hold\n";
-  if (!options.json.empty())
-    Write(options.json, (options.seeds == 1 ? all[0] : nlohmann::ordered_json{{"runs", all}}).dump(1) + '\n');
+  if (!options.json.empty()) {
+    nlohmann::ordered_json json = options.seeds == 1 ? all[0] : nlohmann::ordered_json{{"runs", all}};
+    json["label"] = Label(options);
+    Write(options.json, json.dump(1) + '\n');
+  }
   return failed ? kFault : kDone;
 }
 
@@ -116,7 +130,11 @@
   run.seed = options.seed;
   run.sharing = !options.alone;
   const rig::ProcessOutcome result = rig::PlayProcesses(plan, run);
-  if (!options.json.empty()) Write(options.json, result.outcome.json.dump(1) + '\n');
+  if (!options.json.empty()) {
+    nlohmann::ordered_json json = result.outcome.json;
+    json["label"] = Label(options) + ", processes";
+    Write(options.json, json.dump(1) + '\n');
+  }
   if (result.interrupted) {
     std::cout << options.file << ": interrupted\n";
     return kFault;
@@ -170,12 +188,16 @@
   run->add_option("--without", options->without, "A part of the view switched off, to see what it is worth")
       ->check(CLI::IsMember({"suspicion", "own_time", "helpers", "sync"}));
   run->add_flag("--virtual", options->in_virtual_time, "In virtual time, with the same protocol objects");
+  run->add_flag("--settled", options->settled,
+                "In virtual time: those that start with the run have long known each other")
+      ->needs("--virtual");
   run->add_flag("--alone", options->alone, "Processes that know nothing of each other, for comparison");
   run->add_option("--other", options->other, "The program that `replace` puts in place of this one")
       ->check(CLI::ExistingFile);
   run->add_option("--logs", options->logs, "Keep the members' logs in this folder");
   run->add_option("--json", options->json, "Write the result here");
   run->callback([options, exit_code] { *exit_code = RunRig(*options); });
+  AddRigPlot(group);
   CLI::App* list = group->add_subcommand("list", "The files of the rig, a line each");
   list->footer("Example: copperpoint rig list lab/rig");
   list->add_option("FOLDER", options->folder, "Where they are")->check(CLI::ExistingDirectory);
--- a/src/proxy/fleet/host.cpp
+++ b/src/proxy/fleet/host.cpp
@@ -8,8 +8,8 @@
 
 #include "config/read.h"
 #include "log/log.h"
-#include "proxy/clock.h"
 #include "proxy/config/config.h"
+#include "proxy/fleet/clock.h"
 
 namespace copperpoint::proxy {
 namespace {
@@ -70,17 +70,13 @@
 
 }  // namespace
 
-view::Time FleetHost::Now() {
-  return std::chrono::duration_cast<view::Time>(Steady::now().time_since_epoch());
-}
-
 FleetHost::FleetHost(boost::asio::io_context& io, const FleetSettings& settings, const FleetSelf& self,
                      std::uint64_t seed, std::function<void(double)> on_position) try
     : io_(io),
       listen_(Listen(settings)),
       cluster_(settings.cluster),
       seeds_(SeedsOf(settings)),
-      view_(view::Options(), SealOf(settings), RecordOf(settings, self), seed, Now()),
+      view_(view::Options(), SealOf(settings), RecordOf(settings, self), seed, FleetNow()),
       subsets_(settings.subsets),
       on_position_(std::move(on_position)),
       timer_(io) {
@@ -92,16 +88,16 @@
 void FleetHost::Open() {
   peers::Transport::Handlers handlers;
   handlers.datagram = [this](const std::string& from, std::string_view bytes) {
-    view_.OnDatagram(Now(), from, bytes);
+    view_.OnDatagram(FleetNow(), from, bytes);
     Flush();
   };
   handlers.asked = [this](std::string_view frame) {
-    std::string answer = view_.OnExchange(Now(), frame);
+    std::string answer = view_.OnExchange(FleetNow(), frame);
     Flush();
     return answer;
   };
   handlers.answered = [this](std::string_view frame) {
-    view_.OnReply(Now(), frame);
+    view_.OnReply(FleetNow(), frame);
     Flush();
   };
   try {
@@ -117,7 +113,7 @@
     return;
   }
   log::Global().Info("fleet_member", {{"cluster", cluster_}, {"address", view_.self().address()}});
-  view_.Join(Now(), seeds_);
+  view_.Join(FleetNow(), seeds_);
   Flush();
 }
 
@@ -137,7 +133,7 @@
                          {"silent_ms", static_cast<double>(event.silent.count()) / 1000}});
   }
   if (subsets_) {
-    if (const std::optional<double> turn = positions_.Look(view_, Now())) {
+    if (const std::optional<double> turn = positions_.Look(view_, FleetNow())) {
       log::Global().Info("fleet_position", {{"turn", *turn}});
       turn_ = turn;
       on_position_(*turn);
@@ -148,22 +144,22 @@
 
 void FleetHost::Arm() {
   if (!transport_ || view_.silent()) return;
-  timer_.expires_at(Steady::time_point(std::min(view_.next(), positions_.next())));
+  timer_.expires_at(ToSteady(std::min(view_.next(), positions_.next())));
   timer_.async_wait([this](const boost::system::error_code& cancelled) {
     if (cancelled) return;
-    view_.OnTick(Now());
+    view_.OnTick(FleetNow());
     Flush();
   });
 }
 
 void FleetHost::SetState(view::State state) {
-  view_.SetState(Now(), state);
+  view_.SetState(FleetNow(), state);
   Flush();
 }
 
 void FleetHost::Leave() {
   if (std::exchange(left_, true)) return;
-  view_.Leave(Now());
+  view_.Leave(FleetNow());
   Flush();
   transport_.reset();
   timer_.cancel();
@@ -171,7 +167,7 @@
 
 std::string FleetHost::Json() const {
   const view::Record& self = view_.self();
-  const view::Time now = view_.own(Now());
+  const view::Time now = view_.own(FleetNow());
   const auto millis = [](view::Time time) { return time.count() / 1000; };
   nlohmann::ordered_json json{{"cluster", cluster_},           {"name", self.name()},
                               {"address", self.address()},     {"incarnation", self.incarnation()},
--- a/src/proxy/fleet/host.h
+++ b/src/proxy/fleet/host.h
@@ -46,7 +46,6 @@
   void Open();
   void Flush();
   void Arm();
-  static view::Time Now();
 
   boost::asio::io_context& io_;
   boost::asio::ip::udp::endpoint listen_;
--- a/src/rig/judge.cpp
+++ b/src/rig/judge.cpp
@@ -25,22 +25,33 @@
 
 Judge::Judge(const Plan& plan, std::uint64_t seed, double silence_s)
     : plan_(plan),
+      seed_(seed),
       silence_(silence_s),
       lives_(static_cast<std::size_t>(plan.members)),
-      stops_(static_cast<std::size_t>(plan.members)) {
+      stops_(static_cast<std::size_t>(plan.members)),
+      last_fault_over_(LastFaultOver(plan)) {
   for (const Fault& fault : plan.faults) {
-    if (fault.kind != FaultKind::kCut && !(fault.kind == FaultKind::kLoss && fault.amount >= 0.5)) continue;
-    Cut cut{fault.at_s, fault.for_s > 0 ? fault.at_s + fault.for_s : plan.length_s, {}, {}};
-    cut.who = Marked(plan, Chosen(plan, fault.who, seed));
-    cut.whom = Marked(plan, Chosen(plan, fault.to, seed));
-    if (fault.to.empty()) {
-      cut.whom = cut.who;
-      cut.whom.flip();
-    }
-    cuts_.push_back(std::move(cut));
+    if (fault.when.empty()) AddCut(fault, fault.at_s);
   }
 }
 
+void Judge::AddCut(const Fault& fault, double from) {
+  if (fault.kind != FaultKind::kCut && !(fault.kind == FaultKind::kLoss && fault.amount >= 0.5)) return;
+  Cut cut{from, fault.for_s > 0 ? from + fault.for_s : plan_.length_s, {}, {}};
+  cut.who = Marked(plan_, Chosen(plan_, fault.who, seed_));
+  cut.whom = Marked(plan_, Chosen(plan_, fault.to, seed_));
+  if (fault.to.empty()) {
+    cut.whom = cut.who;
+    cut.whom.flip();
+  }
+  cuts_.push_back(std::move(cut));
+}
+
+void Judge::Begun(double at, const Fault& fault) {
+  AddCut(fault, at);
+  last_fault_over_ = std::max(last_fault_over_, at + fault.for_s);
+}
+
 void Judge::Started(double at, int member) { lives_[static_cast<std::size_t>(member)].push_back({at}); }
 
 void Judge::Ended(double at, int member, bool with_a_word) {
@@ -137,18 +148,27 @@
           {"all_p99_s", Quantile(all, 0.99)}};
 }
 
+std::vector<double> Judge::Spread() const {
+  std::vector<double> spread;
+  if (deaths_.empty()) return spread;
+  for (const auto& [observer, at] : deaths_.front().known) spread.push_back(at - deaths_.front().at);
+  std::sort(spread.begin(), spread.end());
+  return spread;
+}
+
 Judge::Verdict Judge::Close(double at, bool with_service) {
   Verdict verdict;
   auto& results = verdict.json["properties"] = nlohmann::ordered_json::array();
   for (const Property& property : plan_.properties) {
-    const bool of_service = property.kind == PropertyKind::kServedAtLeast;
+    const bool of_service =
+        property.kind == PropertyKind::kServedAtLeast || property.kind == PropertyKind::kTrafficShare;
     if (of_service && !with_service) continue;
     nlohmann::ordered_json result{{"kind", NameOf(property.kind)}, {"bound", property.bound}};
     bool holds = true;
     std::vector<std::string> story;
     switch (property.kind) {
       case PropertyKind::kSettlesWithin: {
-        const double from = property.after_s >= 0 ? property.after_s : LastFaultOver(plan_);
+        const double from = property.after_s >= 0 ? property.after_s : last_fault_over_;
         const bool agreed = !agreement_.empty() && agreement_.back().second;
         const double took = agreed ? std::max(0.0, agreement_.back().first - from) : at - from;
         holds = agreed && took <= property.bound;
@@ -195,6 +215,18 @@
         result["refused"] = refusals_;
         if (!holds) story.push_back(fmt::format("{} datagrams were refused", refusals_));
         break;
+      case PropertyKind::kTrafficShare: {
+        std::uint64_t all = 0, theirs = 0;
+        for (const std::uint64_t runs : runs_) all += runs;
+        for (const int backend : ChosenBackends(plan_, property.who, seed_))
+          if (backend >= 0) theirs += runs_[static_cast<std::size_t>(backend)];
+        const double share = all ? static_cast<double>(theirs) / static_cast<double>(all) : 1;
+        holds = all > 0 && share <= property.bound;
+        result["share"] = share;
+        result["runs"] = all;
+        if (!holds) story.push_back(fmt::format("{} of {} requests ran there", theirs, all));
+        break;
+      }
       case PropertyKind::kHoldersEven: {
         double sum = 0, squares = 0;
         for (const int n : holders_) sum += n, squares += static_cast<double>(n) * n;
@@ -219,6 +251,9 @@
   }
   for (const std::string& rule : broken_) verdict.story.push_back("broken rule: " + rule);
   verdict.holds &= broken_.empty();
+  for (const std::string& when : unmet_)
+    verdict.story.push_back("no fault began when " + when + ": it never came");
+  verdict.holds &= unmet_.empty();
   verdict.json["rules_broken"] = broken_.size();
   return verdict;
 }
--- a/src/rig/judge.h
+++ b/src/rig/judge.h
@@ -25,6 +25,10 @@
   void Ended(double at, int member, bool with_a_word);
   void Stopped(double at, int member);
   void Continued(double at, int member);
+  // A fault that waited for something, begun only now.
+  void Begun(double at, const Fault& fault);
+  // What a fault waited for never came: the run has not shown what it is for.
+  void Unmet(const std::string& when) { unmet_.push_back(when); }
 
   // ---- what was seen ----
   void SaidDead(double at, int observer, int subject);
@@ -33,9 +37,13 @@
   void Bytes(double per_s_out, double per_s_in);  // of the busiest member, from its property's time on
   void Refusals(std::uint64_t datagrams) { refusals_ += datagrams; }
   void Served(std::uint64_t served, std::uint64_t asked);
+  void Runs(std::vector<std::uint64_t> by_backend) { runs_ = std::move(by_backend); }  // traffic_share
   void Holders(std::vector<int> by_backend) { holders_ = std::move(by_backend); }
   void Broke(const std::string& rule) { broken_.push_back(rule); }  // one of the rules of service
 
+  // When each that learnt of it knew of the first end without a word, in seconds after it.
+  std::vector<double> Spread() const;
+
   struct Verdict {
     bool holds = true;
     nlohmann::ordered_json json;
@@ -62,7 +70,10 @@
   bool CutOff(int a, int b, double at) const;
   nlohmann::ordered_json Known(double end, double* worst, std::vector<std::string>* story) const;
 
+  void AddCut(const Fault& fault, double from);
+
   const Plan& plan_;
+  const std::uint64_t seed_;
   const double silence_;
   std::vector<std::vector<Life>> lives_;
   std::vector<std::vector<Life>> stops_;
@@ -71,8 +82,10 @@
   std::vector<std::pair<double, bool>> agreement_;
   double bytes_out_ = 0, bytes_in_ = 0;
   std::uint64_t served_ = 0, asked_ = 0, refusals_ = 0;
-  std::vector<int> holders_;  // proxies, by backend
-  std::vector<std::string> broken_;
+  std::vector<int> holders_;         // proxies, by backend
+  std::vector<std::uint64_t> runs_;  // in the time of traffic_share, by backend
+  double last_fault_over_;
+  std::vector<std::string> broken_, unmet_;
   struct Cut {
     double from = 0, to = 0;
     std::vector<bool> who, whom;
--- a/src/rig/links.cpp
+++ b/src/rig/links.cpp
@@ -4,6 +4,11 @@
 #include <algorithm>
 
 namespace copperpoint::rig {
+namespace {
+
+constexpr double kMostQueuedS = 0.5;  // on a link with a bandwidth, before datagrams are dropped
+
+}  // namespace
 
 // Without receivers, the others; where all are senders, each with each.
 void Links::Begin(const Fault& fault) {
@@ -22,13 +27,24 @@
   std::erase_if(links_, [&](const Link& link) { return link.fault == &fault; });
 }
 
-Links::Passage Links::Pass(int from, int to, bool stream, std::string* bytes) {
+Links::Passage Links::Pass(double now_s, int from, int to, bool stream, std::string* bytes) {
   Passage passage;
   const auto x = static_cast<std::size_t>(from), y = static_cast<std::size_t>(to);
   for (const Link& link : links_) {
     if (!(link.who[x] && link.whom[y]) && !(link.fault->both && link.who[y] && link.whom[x])) continue;
     const double amount = link.fault->amount;
     switch (link.fault->kind) {
+      case FaultKind::kBandwidth: {
+        double& busy = busy_until_s_[{from, to}];
+        const double waits = std::max(0.0, busy - now_s);
+        if (!stream && waits > kMostQueuedS) {
+          passage.passes = false;
+          break;
+        }
+        busy = now_s + waits + static_cast<double>(bytes->size()) / std::max(1.0, amount);
+        passage.more_ms += 1000 * (busy - now_s);
+        break;
+      }
       case FaultKind::kCut:
         passage.passes = false;
         break;
--- a/src/rig/links.h
+++ b/src/rig/links.h
@@ -6,7 +6,9 @@
 #define COPPERPOINT_RIG_LINKS_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "lab/core/random.h"
@@ -28,7 +30,7 @@
   };
   // `bytes` may be changed on its way; `stream`: a connection or a piece of one, of which nothing is lost or
   // spoilt but by a cut.
-  Passage Pass(int from, int to, bool stream, std::string* bytes);
+  Passage Pass(double now_s, int from, int to, bool stream, std::string* bytes);
 
  private:
   struct Link {
@@ -39,6 +41,7 @@
   const std::uint64_t seed_;
   lab::Random random_;
   std::vector<Link> links_;
+  std::map<std::pair<int, int>, double> busy_until_s_;  // of links with a bandwidth
 };
 
 }  // namespace copperpoint::rig
--- a/src/rig/plan.cpp
+++ b/src/rig/plan.cpp
@@ -20,6 +20,7 @@
                                                              {"duplicate", FaultKind::kDuplicate},
                                                              {"reorder", FaultKind::kReorder},
                                                              {"corrupt", FaultKind::kCorrupt},
+                                                             {"bandwidth", FaultKind::kBandwidth},
                                                              {"cut", FaultKind::kCut},
                                                              {"stop", FaultKind::kStop},
                                                              {"starve", FaultKind::kStarve},
@@ -27,16 +28,20 @@
                                                              {"leave", FaultKind::kLeave},
                                                              {"replace", FaultKind::kReplace},
                                                              {"start", FaultKind::kStart},
+                                                             {"slow_start", FaultKind::kSlowStart},
+                                                             {"jump", FaultKind::kJump},
                                                              {"freeze", FaultKind::kFreeze},
                                                              {"fail", FaultKind::kFail},
                                                              {"slow", FaultKind::kSlow},
                                                              {"reset", FaultKind::kReset},
+                                                             {"drain", FaultKind::kDrain},
+                                                             {"restart", FaultKind::kRestart},
                                                              {"cut_service", FaultKind::kCutService}};
 const std::vector<std::pair<std::string, PropertyKind>> kProperties{
     {"settles_within", PropertyKind::kSettlesWithin},  {"known_within", PropertyKind::kKnownWithin},
     {"never_removed", PropertyKind::kNeverRemoved},    {"bytes_at_most", PropertyKind::kBytesAtMost},
     {"served_at_least", PropertyKind::kServedAtLeast}, {"refused_some", PropertyKind::kRefusedSome},
-    {"holders_even", PropertyKind::kHoldersEven}};
+    {"holders_even", PropertyKind::kHoldersEven},      {"traffic_share", PropertyKind::kTrafficShare}};
 
 template <typename Kind>
 std::string Word(const std::vector<std::pair<std::string, Kind>>& names, Kind kind) {
@@ -93,13 +98,21 @@
   v.Choice("kind", kind, kFaults, {.text = "what happens"});
   v.Number("at_s", at_s, {.text = "after the start", .unit = "s", .most = 86400});
   v.Number("for_s", for_s, {.text = "0: to the end", .unit = "s", .most = 86400});
+  v.Word(
+      "when", when, {},
+      {.text = "at_s counts from when this first holds: `settled`, or `EVENT` or `EVENT:MEMBER` of a log, as "
+               "`fleet_suspected:p3`; empty: from the start"});
   v.Words("who", who,
           {.text = "members: `all`, `p3`, `p3-p9`, `zone:a`, `seeds`, `share:0.1`; links: senders; "
                    "freeze, fail, slow, reset: `backends`, `b1`, `b1-b3`, `share:0.5`"});
   v.Words("to", to,
           {.text = "links: receivers; none: all that are not in `who`; cut_service: backends, `discovery`"});
   v.Flag("both", both, {.text = "links: the way back too"});
-  v.Number("amount", amount, {.text = "share of datagrams; of a delay, milliseconds", .most = 1e5});
+  v.Number(
+      "amount", amount,
+      {.text = "share of datagrams; of a delay milliseconds, of a bandwidth bytes a second, of a start or "
+               "jump seconds",
+       .most = 1e9});
   v.Number("least_ms", least_ms,
            {.text = "starve: the shortest stop", .unit = "ms", .least = 1, .most = 1e5});
   v.Number("most_ms", most_ms, {.text = "starve: the longest", .unit = "ms", .least = 1, .most = 1e5});
@@ -111,6 +124,8 @@
   v.Number("bound", bound,
            {.text = "seconds, times, bytes a second or share, as the kind says", .most = 1e9});
   v.Number("after_s", after_s, {.text = "from when on; -1: as the kind says", .unit = "s", .least = -1});
+  v.Number("until_s", until_s, {.text = "traffic_share: until when; -1: the end", .unit = "s", .least = -1});
+  v.Words("who", who, {.text = "traffic_share: backends"});
 }
 
 void Network::Describe(config::Visitor& v) {
@@ -125,6 +140,13 @@
            {.text = "of a request, without another beside it", .unit = "ms", .most = 1e4});
   v.Whole32("slots", slots, {.text = "requests at once; more are turned away", .least = 1, .most = 10000});
   v.Number("rate", rate, {.text = "requests a second over all proxies; 0: no clients", .most = 1e5});
+  v.Number("cold_from", cold_from,
+           {.text = "share of its speed right after a start", .least = 0.01, .most = 1});
+  v.Number("warm_up_s", warm_up_s, {.text = "until it has the whole", .unit = "s", .most = 600});
+  v.Number(
+      "fall_multiple", fall_multiple,
+      {.text = "a cold one that is sent so many times what it can do falls over", .least = 1, .most = 100});
+  v.Number("fall_ms", fall_ms, {.text = "over so long", .unit = "ms", .least = 1, .most = 1e5});
 }
 
 void Plan::Describe(config::Visitor& v) {
@@ -139,6 +161,14 @@
   v.Items("fault", "What befalls whom.", faults);
   v.Items("property", "What has to hold.", properties);
   v.Check("property", !properties.empty(), "a file that asks for nothing cannot fail");
+  for (const Property& property : properties) {
+    if (property.kind != PropertyKind::kTrafficShare) continue;
+    try {
+      ChosenBackends(*this, property.who, 1);
+    } catch (const std::invalid_argument& error) {
+      v.Check("property", false, error.what());
+    }
+  }
   for (const Fault& fault : faults) {
     try {
       const bool of_backends = fault.OnService() && fault.kind != FaultKind::kCutService;
@@ -192,7 +222,8 @@
 
 double LastFaultOver(const Plan& plan) {
   double over = plan.start_spread_s;
-  for (const Fault& fault : plan.faults) over = std::max(over, fault.at_s + fault.for_s);
+  for (const Fault& fault : plan.faults)
+    if (fault.when.empty()) over = std::max(over, fault.at_s + fault.for_s);
   return over;
 }
 
--- a/src/rig/plan.h
+++ b/src/rig/plan.h
@@ -22,12 +22,15 @@
   kDuplicate,  // `amount` of the datagrams come twice
   kReorder,    // `amount` of them come 1 to 50 ms later than they would
   kCorrupt,    // `amount` of them have a bit turned
+  kBandwidth,  // `amount` bytes a second each way; what would wait for over half a second is dropped
   kCut,        // nothing passes, datagram or connection
   kStop,       // the process stands still
   kStarve,     // it stands still again and again, from `least_ms` to `most_ms` each time
   kKill,       // it ends without a word, and is started again after `for_s` (0: never)
   kLeave,      // it ends in good order; the same
   kStart,      // it is started only now
+  kSlowStart,  // processes that start meanwhile stand still for `amount` seconds before they do anything
+  kJump,  // its clock jumps ahead by `amount` seconds (processes: of a program built with the clock's seam)
   kReplace,  // it ends in good order, and the other program (`--other`) is started in its place; from 0 s on:
              // it begins with that one
   // Of the service (processes alone). `who` are backends, or the proxies whose way to `to` is cut.
@@ -35,12 +38,15 @@
   kFail,        // `amount` of their requests fail at once
   kSlow,        // they take `amount` times as long
   kReset,       // `amount` of their requests find the connection reset, half of these after they ran
+  kDrain,       // discovery says that they want nothing new; after `for_s` that they serve again
+  kRestart,     // they end, and are back cold after `for_s`, as discovery says of both
   kCutService,  // nothing passes between the proxies `who` and `to`: backends, or `discovery`
 };
 
 struct Fault {
   FaultKind kind = FaultKind::kKill;
-  double at_s = 0, for_s = 0;           // for_s 0: to the end
+  double at_s = 0, for_s = 0;  // for_s 0: to the end
+  std::string when;  // `at_s` counts from when this first holds (conditions.h); empty: from the start
   std::vector<std::string> who{"all"};  // links: the senders
   std::vector<std::string> to;          // links: the receivers; none: all that are not in `who`
   bool both = true;                     // links: the way back too
@@ -62,12 +68,15 @@
   kRefusedSome,    // datagrams were refused, `bound` at least: the fault has worked
   kHoldersEven,    // at the end, proxies with a connection, by backend: their deviation over their mean is at
                    // most this
+  kTrafficShare,   // of what ran at backends from `after_s` to `until_s`, at most this share ran at `who`
 };
 
 struct Property {
   PropertyKind kind = PropertyKind::kSettlesWithin;
   double bound = 0;
   double after_s = -1;  // below 0: as the kind says
+  double until_s = -1;  // traffic_share: below 0: the end
+  std::vector<std::string> who{"backends"};
 
   void Describe(config::Visitor& v);
 };
@@ -83,6 +92,9 @@
   double work_ms = 10;
   int slots = 8;
   double rate = 100;  // requests a second over all proxies; 0: no clients
+  // A new process of a backend: its share of its speed at first, until when that grows to the whole, and that
+  // many times its capacity over how long it bears before it falls over.
+  double cold_from = 0.2, warm_up_s = 1, fall_multiple = 3, fall_ms = 1000;
 
   void Describe(config::Visitor& v);
 };
@@ -118,7 +130,7 @@
 // other in the mean.
 std::vector<std::pair<double, double>> StopsOf(const Plan& plan, const Fault& fault, lab::Random& random);
 
-// When the last fault is over.
+// When the last fault is over, of those that wait for nothing.
 double LastFaultOver(const Plan& plan);
 
 }  // namespace copperpoint::rig
--- a/src/rig/processes/child.cpp
+++ b/src/rig/processes/child.cpp
@@ -1,9 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "rig/processes/child.h"
 
+#include <linux/close_range.h>
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
@@ -58,7 +60,11 @@
   bp::environment env = boost::this_process::environment();
   for (const auto& [name, value] : more) env[name] = value;
   // A signal that the rig catches must not stay blocked or ignored in what it starts.
-  const auto before = bp::extend::on_exec_setup([](auto&) { ::prctl(PR_SET_PDEATHSIG, SIGKILL); });
+  const auto before = bp::extend::on_exec_setup([](auto&) {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    // It must not hold the rig's listeners open, nor another's pipe.
+    ::close_range(3, ~0u, CLOSE_RANGE_CLOEXEC);
+  });
   impl_->child = bp::child(bp::exe = program, bp::args = arguments, env,
                            bp::std_in<bp::null, bp::std_out> bp::null, bp::std_err > impl_->pipe, before);
   impl_->Read();
--- /dev/null
+++ b/src/rig/processes/directory.h
@@ -0,0 +1,82 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What discovery knows of the stand-in backends, and a stand-in discovery for each proxy that tells it so.
+// What a proxy has been told, and when, goes to the observer of the rules of service.
+#ifndef COPPERPOINT_RIG_PROCESSES_DIRECTORY_H_
+#define COPPERPOINT_RIG_PROCESSES_DIRECTORY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lab/core/queue.h"
+#include "lab/world/observer.h"
+#include "rig/plan.h"
+#include "rig/processes/troubles.h"
+
+namespace copperpoint::rig {
+
+class Directory {
+ public:
+  using Tcp = boost::asio::ip::tcp;
+  enum class Phase { kInService, kTerminating, kTerminated };
+
+  // `addresses`: of each backend, as each proxy reaches it.
+  Directory(boost::asio::io_context& io, const Plan& plan, const boost::asio::ip::address& address,
+            std::vector<std::vector<Tcp::endpoint>> addresses, const Troubles& troubles,
+            lab::Observer& observer, std::function<lab::Micros()> now);
+  ~Directory();
+
+  Tcp::endpoint address(int proxy) const;
+  // `started`: its process is a new one, cold from now on.
+  void Set(int backend, Phase phase, bool started);
+  Phase phase(int backend) const { return entries_[static_cast<std::size_t>(backend)].phase; }
+  // Whether that proxy was told of the backend's present process.
+  bool ToldOfStart(int proxy, int backend) const;
+  // A new process of a proxy knows nothing; one that stood still has read nothing.
+  void Started(int proxy);
+  void Continued(int proxy);
+
+ private:
+  class Watch;
+  friend class Watch;
+  struct Entry {
+    Phase phase = Phase::kInService;
+    std::int64_t up_since_unix_ms = 0;  // 0: long ago
+    std::uint64_t changed = 1;          // the revision
+  };
+  struct Known {  // by one proxy of one backend
+    std::int64_t up_since_unix_ms = -1;
+  };
+  struct Door {
+    explicit Door(boost::asio::io_context& io) : acceptor(io) {}
+    Tcp::acceptor acceptor;
+    std::vector<std::weak_ptr<Watch>> watches;
+    std::vector<Known> known;
+  };
+
+  void Accept(int proxy);
+  // The entries that changed after a revision, as a line; `told` gets their numbers.
+  std::string LineSince(int proxy, std::uint64_t revision, std::vector<int>* told) const;
+  void Told(int proxy, const std::vector<int>& backends);
+  Door& At(int proxy) { return *doors_[static_cast<std::size_t>(proxy)]; }
+
+  boost::asio::io_context& io_;
+  const Plan& plan_;
+  const std::vector<std::vector<Tcp::endpoint>> addresses_;
+  const Troubles& troubles_;
+  lab::Observer& observer_;
+  std::function<lab::Micros()> now_;
+  std::vector<Entry> entries_;
+  std::uint64_t revision_ = 1;
+  std::vector<std::unique_ptr<Door>> doors_;
+};
+
+}  // namespace copperpoint::rig
+
+#endif  // COPPERPOINT_RIG_PROCESSES_DIRECTORY_H_
--- a/src/rig/processes/play.cpp
+++ b/src/rig/processes/play.cpp
@@ -25,10 +25,12 @@
 #include <utility>
 
 #include "peers/transport.h"
+#include "rig/conditions.h"
 #include "rig/judge.h"
 #include "rig/links.h"
 #include "rig/processes/child.h"
 #include "rig/processes/control.h"
+#include "rig/processes/directory.h"
 #include "rig/processes/relay.h"
 #include "rig/processes/service.h"
 #include "rig/processes/troubles.h"
@@ -48,6 +50,8 @@
 constexpr std::chrono::milliseconds kLook{100};        // between looks at all views
 constexpr std::chrono::milliseconds kLookAtEnd{20};    // whether a process has ended
 constexpr std::chrono::milliseconds kLookAnswer{400};  // for one proxy's answer
+constexpr double kFallenS = 1;                         // until a backend that fell over is back
+constexpr double kDrainGraceMs = 550;                  // the rule's, and what sockets take
 constexpr std::chrono::milliseconds kMostLate{300};    // of the rig's own timers
 constexpr std::chrono::milliseconds kFrontNotices{
     100};  // until no client is sent to a process that has ended
@@ -76,9 +80,10 @@
         options_(options),
         random_(options.seed, "processes"),
         links_(plan, options.seed),
+        conditions_(plan),
         troubles_(plan, options.seed),
         judge_(plan, options.seed, static_cast<double>(view::Options().silence.count()) / 1e6),
-        observer_(500),
+        observer_(kDrainGraceMs),
         look_(io_),
         signals_(io_, SIGINT, SIGTERM),
         members_(static_cast<std::size_t>(plan.members)) {}
@@ -88,7 +93,6 @@
  private:
   struct Member {
     std::unique_ptr<Child> child;
-    std::unique_ptr<StandInDiscovery> discovery;
     std::uint64_t life = 0;
     bool up = false, stopped = false;
     bool ending = false, killed = false;  // the rig has ended this process
@@ -122,9 +126,12 @@
   void OnEnd(int member, std::uint64_t life, int status);
   void Schedule(double at_s, std::function<void()> what);
   void ScheduleFault(const Fault& fault);
+  void Meet(std::string_view event, std::string_view member = {});
   // Of those that befall no process: on links between members, or on the service.
-  void BeginBetween(const Fault& fault) { fault.OnLinks() ? links_.Begin(fault) : troubles_.Begin(fault); }
-  void EndBetween(const Fault& fault) { fault.OnLinks() ? links_.End(fault) : troubles_.End(fault); }
+  void BeginBetween(const Fault& fault);
+  void EndBetween(const Fault& fault);
+  void SetBackend(int backend, Directory::Phase phase, bool up);
+  void Jump(int member, double seconds);
   void Watch();
   std::string Carry(const std::string& what, const std::string& who);
   void LookAtAll();
@@ -136,6 +143,7 @@
   Folder folder_;
   lab::Random random_;
   Links links_;
+  Conditions conditions_;
   Troubles troubles_;
   Judge judge_;
   lab::Observer observer_;
@@ -145,9 +153,15 @@
   std::vector<std::unique_ptr<asio::steady_timer>> timers_;
   std::unique_ptr<Relay> relay_;
   std::unique_ptr<StandInBackends> backends_;
+  std::unique_ptr<Directory> directory_;
   std::unique_ptr<Clients> clients_;
   std::unique_ptr<Control> control_;
   std::list<Fault> commanded_;  // that are in force
+  std::list<Fault> begun_;      // that waited for something
+  std::list<std::pair<Fault, std::vector<int>>> slow_starts_;
+  std::set<int> down_;                      // backends
+  std::vector<std::uint64_t> runs_before_;  // traffic_share: from when it counts on
+  std::vector<std::uint64_t> runs_;
   std::size_t views_ = 0;
   std::uint64_t ejections_ = 0;
   Live before_;  // sums up to the last second
@@ -232,26 +246,20 @@
     inside.push_back(member.inside);
     outside.push_back(member.outside);
   }
-  if (options_.sharing) relay_ = std::make_unique<Relay>(io_, links_, inside, outside);
+  if (options_.sharing)
+    relay_ = std::make_unique<Relay>(io_, links_, inside, outside, [this] { return Now(); });
   const auto now = [this] { return lab::FromMs(Now() * 1000); };
   backends_ = std::make_unique<StandInBackends>(io_, plan_, options_.seed, Address(100, 0), troubles_,
                                                 observer_, now);
-  for (int member = 0; member < plan_.members; ++member) {
-    nlohmann::json list{{"revision", 1}, {"complete", true}, {"members", nlohmann::json::array()}};
-    const auto& addresses = backends_->addresses(member);
-    for (std::size_t i = 0; i < addresses.size(); ++i) {
-      list["members"].push_back({{"id", fmt::format("b{}", i + 1)},
-                                 {"host_port", TextOf(addresses[i])},
-                                 {"locality", ZoneName(plan_, static_cast<int>(i))},
-                                 {"flavor", "m"},
-                                 {"cell", 0},
-                                 {"phase", "in_service"},
-                                 {"size", 1.0},
-                                 {"up_since_ms", 0}});
-    }
-    At(member).discovery = std::make_unique<StandInDiscovery>(
-        io_, Address(101, 0), list, [this, member] { return troubles_.Cut(member, kDiscovery); });
-  }
+  directory_ = std::make_unique<Directory>(io_, plan_, Address(101, 0), backends_->addresses(), troubles_,
+                                           observer_, now);
+  backends_->Watch([this](int proxy, int backend) { return directory_->ToldOfStart(proxy, backend); },
+                   [this](int backend) {
+                     SetBackend(backend, Directory::Phase::kTerminated, /*up=*/false);
+                     Schedule(Now() + kFallenS, [this, backend] {
+                       SetBackend(backend, Directory::Phase::kInService, /*up=*/true);
+                     });
+                   });
   const auto choose = [this](lab::Random& random) -> std::optional<Clients::Target> {
     std::vector<int> up;
     for (int i = 0; i < plan_.members; ++i)
@@ -265,7 +273,9 @@
     return !member.killed && !member.stopped && member.life == target.life &&
            Clock::now() - member.ready > 3 * kMostLate;
   };
-  clients_ = std::make_unique<Clients>(io_, plan_.service, options_.seed, observer_, choose, owed, now);
+  clients_ = std::make_unique<Clients>(
+      io_, plan_.service, options_.seed, observer_, choose, owed,
+      [this](std::uint64_t id) { return backends_->MayHaveRun(id); }, now);
   std::ofstream(folder_.path + "/key") << "a key that only this rig has\n";
   ::chmod((folder_.path + "/key").c_str(), 0600);
   for (int i = 0; i < plan_.members; ++i) WriteFiles(i);
@@ -275,11 +285,12 @@
   const Member& member = At(number);
   const std::string base = folder_.path + "/" + MemberName(number);
   std::filesystem::create_directory(base);
+  std::ofstream(base + "/clock") << std::string(sizeof(std::int64_t), '\0');
   const nlohmann::json config{
       {"name", MemberName(number)},
       {"listen", TextOf(member.listen)},
       {"operator", TextOf(member.op)},
-      {"discovery", TextOf(member.discovery->address())},
+      {"discovery", TextOf(directory_->address(number))},
       {"seed", fmt::format("{:x}", options_.seed * 1000 + static_cast<std::uint64_t>(number))},
       {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
       {"settings", SettingsOf(plan_, number)}};
@@ -311,12 +322,65 @@
   member.refused_before += std::exchange(member.refused, 0);
   member.stopped = member.ending = member.killed = false;
   judge_.Started(Now(), number);
+  directory_->Started(number);
   member.child = std::make_unique<Child>(
       io_, member.other && !options_.other.empty() ? options_.other : options_.program,
       std::vector<std::string>{"serve", "--config", base + "/operator.toml"},
-      std::map<std::string, std::string>{{"ROUTER_CONFIG", base + "/config.json"}, {"TMPDIR", base + "/tmp"}},
+      std::map<std::string, std::string>{{"ROUTER_CONFIG", base + "/config.json"},
+                                         {"TMPDIR", base + "/tmp"},
+                                         {"COPPERPOINT_CLOCK", base + "/clock"}},
       [this, number](const std::string& line) { OnLine(number, line); },
       [this, number, life](int status) { OnEnd(number, life, status); });
+  for (const auto& [fault, whom] : slow_starts_) {
+    if (std::find(whom.begin(), whom.end(), number) == whom.end()) continue;
+    Stop(number, true);
+    Schedule(Now() + fault.amount, [this, number, life] {
+      if (At(number).life == life) Stop(number, false);
+    });
+  }
+}
+
+void ProcessFleet::Jump(int number, double seconds) {
+  std::fstream clock(folder_.path + "/" + MemberName(number) + "/clock",
+                     std::ios::in | std::ios::out | std::ios::binary);
+  std::int64_t ahead_us = 0;
+  clock.read(reinterpret_cast<char*>(&ahead_us), sizeof ahead_us);
+  ahead_us += static_cast<std::int64_t>(seconds * 1e6);
+  clock.seekp(0);
+  clock.write(reinterpret_cast<const char*>(&ahead_us), sizeof ahead_us);
+}
+
+void ProcessFleet::SetBackend(int backend, Directory::Phase phase, bool up) {
+  const bool was = !down_.contains(backend);
+  if (was && !up) backends_->Down(backend);
+  if (!was && up) backends_->Up(backend);
+  if (up) down_.erase(backend);
+  if (!up) down_.insert(backend);
+  directory_->Set(backend, phase, /*started=*/!was && up);
+}
+
+void ProcessFleet::BeginBetween(const Fault& fault) {
+  if (fault.OnLinks()) return links_.Begin(fault);
+  if (fault.kind != FaultKind::kDrain && fault.kind != FaultKind::kRestart) return troubles_.Begin(fault);
+  const bool drain = fault.kind == FaultKind::kDrain;
+  for (const int backend : ChosenBackends(plan_, fault.who, options_.seed))
+    SetBackend(backend, drain ? Directory::Phase::kTerminating : Directory::Phase::kTerminated, drain);
+}
+
+void ProcessFleet::EndBetween(const Fault& fault) {
+  if (fault.OnLinks()) return links_.End(fault);
+  if (fault.kind != FaultKind::kDrain && fault.kind != FaultKind::kRestart) return troubles_.End(fault);
+  for (const int backend : ChosenBackends(plan_, fault.who, options_.seed))
+    SetBackend(backend, Directory::Phase::kInService, /*up=*/true);
+}
+
+void ProcessFleet::Meet(std::string_view event, std::string_view member) {
+  for (const std::size_t index : conditions_.Met(event, member)) {
+    Fault& fault = begun_.emplace_back(plan_.faults[index]);
+    fault.at_s += Now();
+    judge_.Begun(fault.at_s, fault);
+    ScheduleFault(fault);
+  }
 }
 
 void ProcessFleet::OnLine(int number, const std::string& line) {
@@ -334,6 +398,7 @@
     for (int i = 0; i < plan_.members; ++i)
       if (MemberName(i) == subject) judge_.SaidDead(Now(), number, i);
   }
+  Meet(event, json.value("member", ""));
 }
 
 void ProcessFleet::OnEnd(int number, std::uint64_t life, int status) {
@@ -366,6 +431,7 @@
   member.stopped = stop;
   member.ready = Clock::now();
   stop ? judge_.Stopped(Now(), number) : judge_.Continued(Now(), number);
+  if (!stop) directory_->Continued(number);
 }
 
 void ProcessFleet::Replace(int number, bool other) {
@@ -398,8 +464,20 @@
     if (fault.for_s > 0) Schedule(until, [&] { EndBetween(fault); });
     return;
   }
-  for (const int member : Chosen(plan_, fault.who, options_.seed)) {
+  const std::vector<int> members = Chosen(plan_, fault.who, options_.seed);
+  if (fault.kind == FaultKind::kSlowStart) {
+    Schedule(fault.at_s, [this, &fault, members] { slow_starts_.emplace_back(fault, members); });
+    if (fault.for_s > 0)
+      Schedule(until, [this, &fault] {
+        slow_starts_.remove_if([&](const auto& one) { return one.first.at_s == fault.at_s; });
+      });
+    return;
+  }
+  for (const int member : members) {
     switch (fault.kind) {
+      case FaultKind::kJump:
+        Schedule(fault.at_s, [this, member, &fault] { Jump(member, fault.amount); });
+        break;
       case FaultKind::kKill:
       case FaultKind::kLeave:
         Schedule(fault.at_s, [this, member, &fault] { End(member, fault.kind == FaultKind::kLeave); });
@@ -520,7 +598,9 @@
     agreed &= !member.view.empty() && member.view == first->view;
   }
   views_ = views.size();
-  judge_.Agreed(Now(), agreed && first && first->living == up);
+  const bool one = agreed && first && first->living == up;
+  judge_.Agreed(Now(), one);
+  if (one && up == members_.size()) Meet("settled");
   LookAtAll();
 }
 
@@ -537,7 +617,7 @@
     if (fault.kind == FaultKind::kStart)
       for (const int member : Chosen(plan_, fault.who, options_.seed))
         late[static_cast<std::size_t>(member)] = true;
-    ScheduleFault(fault);
+    if (fault.when.empty()) ScheduleFault(fault);
   }
   for (int i = 0; i < plan_.members; ++i)
     if (!late[static_cast<std::size_t>(i)])
@@ -549,6 +629,17 @@
       if (property.kind == PropertyKind::kServedAtLeast) count_from = property.after_s;
       if (property.kind == PropertyKind::kBytesAtMost) rest_from_ = property.after_s;
     }
+  const auto runs = [this] {
+    std::vector<std::uint64_t> all;
+    for (int b = 0; b < plan_.service.backends; ++b) all.push_back(backends_->executions(b));
+    return all;
+  };
+  runs_before_.resize(static_cast<std::size_t>(plan_.service.backends));
+  for (const Property& property : plan_.properties) {
+    if (property.kind != PropertyKind::kTrafficShare) continue;
+    if (property.after_s >= 0) Schedule(property.after_s, [this, runs] { runs_before_ = runs(); });
+    if (property.until_s >= 0) Schedule(property.until_s, [this, runs] { runs_ = runs(); });
+  }
   Schedule(plan_.start_spread_s + 0.5, [this, count_from] { clients_->Start(count_from); });
   if (options_.sharing) LookAtAll();
   if (options_.watch) {
@@ -566,6 +657,10 @@
   const double end = Now();
   clients_->Stop();
   judge_.Holders(backends_->holders());
+  if (runs_.empty()) runs_ = runs();
+  for (std::size_t b = 0; b < runs_.size(); ++b) runs_[b] -= runs_before_[b];
+  judge_.Runs(runs_);
+  for (const std::string& when : conditions_.unmet()) judge_.Unmet(when);
   for (Member& member : members_) member.child.reset();
   for (const Member& member : members_) {
     judge_.Refusals(static_cast<std::uint64_t>(member.refused + member.refused_before));
@@ -588,6 +683,8 @@
   json["members"] = plan_.members;
   json["requests"] = clients_->all();
   json["executions"] = backends_->executions();
+  json["falls"] = backends_->falls();
+  json["spread"] = judge_.Spread();
   json["looks"] = looks_;
   json["rig_late_ms"] = std::chrono::duration<double, std::milli>(latest_).count();
   if (relay_) {
--- a/src/rig/processes/relay.cpp
+++ b/src/rig/processes/relay.cpp
@@ -21,16 +21,22 @@
 class Relay::Stream : public std::enable_shared_from_this<Stream> {
  public:
   Stream(Relay& owner, int from, int to, Tcp::socket socket)
-      : owner_(&owner), from_(from), to_(to), near_(std::move(socket)), far_(owner.io_) {}
+      : owner_(&owner),
+        from_(from),
+        to_(to),
+        near_(std::move(socket)),
+        far_(owner.io_),
+        up_waits_(owner.io_),
+        down_waits_(owner.io_) {}
 
   void Start(const Tcp::endpoint& to) {
     std::string nothing;
-    if (!owner_->links_.Pass(from_, to_, true, &nothing).passes) return Watch();
+    if (!owner_->links_.Pass(owner_->now_(), from_, to_, true, &nothing).passes) return Watch();
     far_.async_connect(to, [self = shared_from_this()](const Error& failed) {
       if (!self->owner_) return;
       if (failed) return self->Close();
-      self->Copy(self->near_, self->far_, self->from_, self->to_, self->up_);
-      self->Copy(self->far_, self->near_, self->to_, self->from_, self->down_);
+      self->Copy(self->near_, self->far_, self->from_, self->to_, self->up_, self->up_waits_);
+      self->Copy(self->far_, self->near_, self->to_, self->from_, self->down_, self->down_waits_);
     });
   }
 
@@ -39,6 +45,8 @@
     Error ignored;
     near_.close(ignored);
     far_.close(ignored);
+    up_waits_.cancel();
+    down_waits_.cancel();
   }
 
  private:
@@ -50,18 +58,25 @@
     });
   }
 
-  void Copy(Tcp::socket& in, Tcp::socket& out, int from, int to, std::array<char, 16384>& buffer) {
-    in.async_read_some(asio::buffer(buffer), [self = shared_from_this(), &in, &out, from, to, &buffer](
-                                                 const Error& failed, std::size_t size) {
+  // Pieces go one after the other, each as late as its link is slow.
+  void Copy(Tcp::socket& in, Tcp::socket& out, int from, int to, std::array<char, 16384>& buffer,
+            asio::steady_timer& waits) {
+    in.async_read_some(asio::buffer(buffer), [self = shared_from_this(), &in, &out, from, to, &buffer,
+                                              &waits](const Error& failed, std::size_t size) {
       if (!self->owner_) return;
       if (failed) return self->Close();
-      std::string nothing;
-      if (!self->owner_->links_.Pass(from, to, true, &nothing).passes) return self->Watch();
-      asio::async_write(out, asio::buffer(buffer.data(), size),
-                        [self, &in, &out, from, to, &buffer](const Error& broken, std::size_t) {
-                          if (!self->owner_) return;
-                          broken ? self->Close() : self->Copy(in, out, from, to, buffer);
-                        });
+      std::string piece(buffer.data(), size);
+      const Links::Passage passage = self->owner_->links_.Pass(self->owner_->now_(), from, to, true, &piece);
+      if (!passage.passes) return self->Watch();
+      waits.expires_after(std::chrono::microseconds(static_cast<std::int64_t>(passage.more_ms * 1000)));
+      waits.async_wait([self, &in, &out, from, to, &buffer, &waits, size](const Error& cancelled) {
+        if (cancelled || !self->owner_) return;
+        asio::async_write(out, asio::buffer(buffer.data(), size),
+                          [self, &in, &out, from, to, &buffer, &waits](const Error& broken, std::size_t) {
+                            if (!self->owner_) return;
+                            broken ? self->Close() : self->Copy(in, out, from, to, buffer, waits);
+                          });
+      });
     });
   }
 
@@ -77,11 +92,12 @@
   const int from_, to_;
   Tcp::socket near_, far_;
   std::array<char, 16384> up_, down_;
+  asio::steady_timer up_waits_, down_waits_;
 };
 
 Relay::Relay(asio::io_context& io, Links& links, std::vector<Udp::endpoint> inside,
-             const std::vector<Udp::endpoint>& outside)
-    : io_(io), links_(links), inside_(std::move(inside)) {
+             const std::vector<Udp::endpoint>& outside, std::function<double()> now)
+    : io_(io), links_(links), now_(std::move(now)), inside_(std::move(inside)) {
   for (const Udp::endpoint& address : outside) {
     auto door = std::make_unique<Door>(io);
     door->udp.open(address.protocol());
@@ -127,7 +143,7 @@
   const int from = MemberAt(door.from.address());
   if (from < 0) return;
   std::string bytes = door.buffer.substr(0, size);
-  const Links::Passage passage = links_.Pass(from, to, /*stream=*/false, &bytes);
+  const Links::Passage passage = links_.Pass(now_(), from, to, /*stream=*/false, &bytes);
   if (!passage.passes) {
     ++dropped_;
     return;
--- a/src/rig/processes/relay.h
+++ b/src/rig/processes/relay.h
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_set>
@@ -23,10 +24,10 @@
  public:
   using Udp = boost::asio::ip::udp;
 
-  // `inside`: where each member binds; `outside`: what it advertises. Throws boost::system::system_error if
-  // an address cannot be had.
+  // `inside`: where each member binds; `outside`: what it advertises; `now`: seconds of the run. Throws
+  // boost::system::system_error if an address cannot be had.
   Relay(boost::asio::io_context& io, Links& links, std::vector<Udp::endpoint> inside,
-        const std::vector<Udp::endpoint>& outside);
+        const std::vector<Udp::endpoint>& outside, std::function<double()> now);
   ~Relay();
 
   std::uint64_t passed() const { return passed_; }
@@ -51,6 +52,7 @@
 
   boost::asio::io_context& io_;
   Links& links_;
+  std::function<double()> now_;
   std::vector<Udp::endpoint> inside_;
   std::vector<std::unique_ptr<Door>> doors_;
   std::unordered_set<std::shared_ptr<Stream>> streams_;
--- a/src/rig/processes/service.cpp
+++ b/src/rig/processes/service.cpp
@@ -22,17 +22,25 @@
 namespace http = beast::http;
 using Error = boost::system::error_code;
 
-constexpr std::chrono::milliseconds kHeartbeat{2000};
 constexpr std::chrono::milliseconds kDeadline{2000};  // of a request
 constexpr std::chrono::milliseconds kLookAgain{10};   // whether a silence is over
 constexpr std::chrono::milliseconds kSlack{1000};     // before one that has no answer is lost
 
-Tcp::acceptor Listen(asio::io_context& io, const asio::ip::address& address) {
-  Tcp::acceptor acceptor(io);
+void Listen(Tcp::acceptor& acceptor, const Tcp::endpoint& address) {
   acceptor.open(Tcp::v4());
-  acceptor.bind({address, 0});
+  acceptor.set_option(Tcp::acceptor::reuse_address(true));
+  acceptor.bind(address);
   acceptor.listen();
-  return acceptor;
+}
+
+lab::Machine MachineOf(const Service& service) {
+  lab::Machine machine;
+  machine.cores = service.slots;
+  machine.cold_from = service.cold_from;
+  machine.warm_up_s = service.warm_up_s;
+  machine.fall_multiple = service.fall_multiple;
+  machine.fall_ms = service.fall_ms;
+  return machine;
 }
 
 }  // namespace
@@ -47,6 +55,7 @@
         backend_(backend),
         socket_(std::move(socket)),
         work_(owner.io_),
+        life_(Here().model.life()),
         open_(Here().connections) {
     ++(*open_)[static_cast<std::size_t>(proxy_)];
   }
@@ -58,12 +67,37 @@
     request_ = {};
     http::async_read(socket_, buffer_, request_,
                      [self = shared_from_this()](const Error& failed, std::size_t) {
-                       if (!failed) self->Work();
+                       if (!failed) self->Arrived();
                      });
   }
 
+  void Reset() {
+    Error ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket_.close(ignored);
+  }
+
  private:
   Backend& Here() { return owner_.backends_[static_cast<std::size_t>(backend_)]; }
+  void Arrived() {
+    unsafe_ = request_.method() != http::verb::get;
+    id_ = std::strtoull(std::string(request_["Req-Id"]).c_str(), nullptr, 16);
+    int* unproven = unsafe_ ? &owner_.unproven_[id_] : nullptr;
+    owner_.observer_.Dispatched(owner_.now_(), id_, static_cast<std::uint32_t>(proxy_),
+                                static_cast<std::uint32_t>(backend_), {unsafe_, unproven && *unproven > 0},
+                                /*already_final=*/false);
+    if (unproven) ++*unproven;
+    const double work = owner_.service_.work_ms;
+    double told_share = 0;
+    if (Here().model.Press(owner_.now_(), work, owner_.told_ && owner_.told_(proxy_, backend_),
+                           &told_share)) {
+      owner_.observer_.FellOver(owner_.now_(), static_cast<std::uint32_t>(backend_), told_share);
+      ++owner_.falls_;
+      return owner_.fell_(backend_);
+    }
+    Work();
+  }
+
   bool Silent() const { return owner_.troubles_.Cut(proxy_, backend_) || owner_.troubles_.Frozen(backend_); }
 
   // Once something passes here again.
@@ -82,18 +116,20 @@
     status_ = http::status::ok;
     if (Here().busy >= owner_.service_.slots) {
       status_ = http::status::service_unavailable;
+      if (unsafe_) --owner_.unproven_[id_];
       return Answer();
     }
-    owner_.Ran(std::string(request_["Req-Id"]), request_.method() != http::verb::get, backend_);
+    owner_.Ran(id_, unsafe_, backend_);
     if (owner_.random_.Chance(owner_.troubles_.Failing(backend_))) {
       status_ = http::status::internal_server_error;
       return Answer();
     }
     ++Here().busy;
-    const double ms = owner_.service_.work_ms * owner_.troubles_.Slowness(backend_);
+    const double ms =
+        owner_.service_.work_ms * owner_.troubles_.Slowness(backend_) / Here().model.Warmth(owner_.now_());
     work_.expires_after(std::chrono::microseconds(static_cast<std::int64_t>(ms * 1000)));
     work_.async_wait([self = shared_from_this()](const Error& cancelled) {
-      if (cancelled) return;
+      if (cancelled || self->life_ != self->Here().model.life()) return;
       --self->Here().busy;
       self->Answer();
     });
@@ -111,22 +147,18 @@
     });
   }
 
-  void Reset() {
-    Error ignored;
-    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-    socket_.close(ignored);
-  }
-
   StandInBackends& owner_;
   const int proxy_, backend_;
   Tcp::socket socket_;
   asio::steady_timer work_;
+  const std::uint32_t life_;  // of the backend's process
   const std::shared_ptr<std::vector<int>> open_;
   beast::flat_buffer buffer_;
   http::request<http::string_body> request_;
   http::response<http::string_body> response_;
   http::status status_ = http::status::ok;
-  bool reset_after_ = false;
+  std::uint64_t id_ = 0;
+  bool unsafe_ = false, reset_after_ = false;
 };
 
 StandInBackends::StandInBackends(asio::io_context& io, const Plan& plan, std::uint64_t seed,
@@ -138,27 +170,68 @@
       random_(seed, "backends"),
       observer_(observer),
       now_(std::move(now)),
-      backends_(static_cast<std::size_t>(plan.service.backends)),
+      machine_(MachineOf(plan.service)),
       addresses_(static_cast<std::size_t>(plan.members)) {
+  for (int backend = 0; backend < plan.service.backends; ++backend) backends_.emplace_back(machine_);
   for (Backend& backend : backends_)
     backend.connections = std::make_shared<std::vector<int>>(static_cast<std::size_t>(plan.members));
   for (int proxy = 0; proxy < plan.members; ++proxy) {
     for (int backend = 0; backend < plan.service.backends; ++backend) {
-      acceptors_.push_back(std::make_unique<Tcp::acceptor>(Listen(io, address)));
+      acceptors_.push_back(std::make_unique<Tcp::acceptor>(io));
+      Listen(*acceptors_.back(), {address, 0});
       addresses_[static_cast<std::size_t>(proxy)].push_back(acceptors_.back()->local_endpoint());
-      Accept(proxy, backend, *acceptors_.back());
+      Accept(proxy, backend);
     }
   }
 }
 
-void StandInBackends::Accept(int proxy, int backend, Tcp::acceptor& acceptor) {
-  acceptor.async_accept([this, proxy, backend, &acceptor](const Error& failed, Tcp::socket socket) {
+void StandInBackends::Watch(std::function<bool(int, int)> told, std::function<void(int)> fell) {
+  told_ = std::move(told);
+  fell_ = std::move(fell);
+}
+
+void StandInBackends::Accept(int proxy, int backend) {
+  AcceptorOf(proxy, backend).async_accept([this, proxy, backend](const Error& failed, Tcp::socket socket) {
     if (failed == asio::error::operation_aborted) return;
-    if (!failed) std::make_shared<Connection>(*this, proxy, backend, std::move(socket))->Read();
-    Accept(proxy, backend, acceptor);
+    if (!failed) {
+      const auto connection = std::make_shared<Connection>(*this, proxy, backend, std::move(socket));
+      auto& open = backends_[static_cast<std::size_t>(backend)].open;
+      std::erase_if(open, [](const auto& one) { return one.expired(); });
+      open.push_back(connection);
+      connection->Read();
+    }
+    if (AcceptorOf(proxy, backend).is_open()) Accept(proxy, backend);
   });
 }
 
+void StandInBackends::Down(int number) {
+  Backend& backend = backends_[static_cast<std::size_t>(number)];
+  if (backend.model.health() != lab::Backend::Health::kUp) return;
+  backend.model.Die(lab::Backend::Health::kDown);
+  backend.busy = 0;
+  for (std::size_t proxy = 0; proxy < addresses_.size(); ++proxy) {
+    Error ignored;
+    AcceptorOf(static_cast<int>(proxy), number).close(ignored);
+  }
+  for (const auto& one : std::exchange(backend.open, {}))
+    if (const auto connection = one.lock()) connection->Reset();
+}
+
+void StandInBackends::Up(int number) {
+  Backend& backend = backends_[static_cast<std::size_t>(number)];
+  if (backend.model.health() == lab::Backend::Health::kUp) return;
+  backend.model.Start(now_());
+  for (std::size_t proxy = 0; proxy < addresses_.size(); ++proxy) {
+    Listen(AcceptorOf(static_cast<int>(proxy), number), addresses_[proxy][static_cast<std::size_t>(number)]);
+    Accept(static_cast<int>(proxy), number);
+  }
+}
+
+bool StandInBackends::MayHaveRun(std::uint64_t request) const {
+  const auto found = unproven_.find(request);
+  return found != unproven_.end() && found->second > 0;
+}
+
 std::vector<int> StandInBackends::holders() const {
   std::vector<int> holders;
   for (const Backend& backend : backends_)
@@ -173,79 +246,9 @@
   return all;
 }
 
-void StandInBackends::Ran(const std::string& id, bool unsafe, int backend) {
+void StandInBackends::Ran(std::uint64_t request, bool unsafe, int backend) {
   ++backends_[static_cast<std::size_t>(backend)].runs;
-  if (unsafe)
-    observer_.Ran(now_(), std::strtoull(id.c_str(), nullptr, 16), static_cast<std::uint32_t>(backend),
-                  ++runs_[id]);
-}
-
-// ---- discovery ------------------------------------------------------------------------------------------
-
-class StandInDiscovery::Watch : public std::enable_shared_from_this<Watch> {
- public:
-  Watch(StandInDiscovery& owner, Tcp::socket socket)
-      : owner_(owner), socket_(std::move(socket)), timer_(owner.io_) {}
-
-  void Start() {
-    http::async_read(
-        socket_, buffer_, request_, [self = shared_from_this()](const Error& failed, std::size_t) {
-          if (failed) return;
-          const bool stream = self->request_.target().find("stream=1") != beast::string_view::npos;
-          const std::string& line = self->owner_.line_;
-          self->out_ =
-              stream ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunk(line + "\n")
-                     : fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", line.size(), line);
-          self->Write(stream);
-        });
-  }
-
- private:
-  static std::string Chunk(const std::string& text) {
-    return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
-  }
-
-  void Write(bool stream) {
-    if (owner_.cut_()) {
-      timer_.expires_after(kLookAgain);
-      timer_.async_wait([self = shared_from_this(), stream](const Error& cancelled) {
-        if (!cancelled) self->Write(stream);
-      });
-      return;
-    }
-    asio::async_write(socket_, asio::buffer(out_),
-                      [self = shared_from_this(), stream](const Error& failed, std::size_t) {
-                        if (failed) return;
-                        if (!stream) return self->Start();
-                        self->timer_.expires_after(kHeartbeat);
-                        self->timer_.async_wait([self](const Error& cancelled) {
-                          if (cancelled) return;
-                          self->out_ = Chunk("\n");
-                          self->Write(true);
-                        });
-                      });
-  }
-
-  StandInDiscovery& owner_;
-  Tcp::socket socket_;
-  asio::steady_timer timer_;
-  beast::flat_buffer buffer_;
-  http::request<http::empty_body> request_;
-  std::string out_;
-};
-
-StandInDiscovery::StandInDiscovery(asio::io_context& io, const asio::ip::address& address,
-                                   const nlohmann::json& list, std::function<bool()> cut)
-    : io_(io), acceptor_(Listen(io, address)), line_(list.dump()), cut_(std::move(cut)) {
-  Accept();
-}
-
-void StandInDiscovery::Accept() {
-  acceptor_.async_accept([this](const Error& failed, Tcp::socket socket) {
-    if (failed == asio::error::operation_aborted) return;
-    if (!failed) std::make_shared<Watch>(*this, std::move(socket))->Start();
-    Accept();
-  });
+  if (unsafe) observer_.Ran(now_(), request, static_cast<std::uint32_t>(backend), ++runs_[request]);
 }
 
 // ---- clients --------------------------------------------------------------------------------------------
@@ -256,6 +259,7 @@
       : owner_(owner), target_(target), id_(id), counts_(counts), stream_(owner.io_) {}
 
   void Start(bool unsafe) {
+    unsafe_ = unsafe;
     request_ = {unsafe ? http::verb::post : http::verb::get, unsafe ? "/book/it" : "/look/it", 11};
     request_.set(http::field::host, "service.internal");
     request_.set("Req-Id", fmt::format("{:x}", id_));
@@ -274,27 +278,32 @@
 
  private:
   void Read() {
-    http::async_read(stream_, buffer_, response_,
-                     [self = shared_from_this()](const Error& failed, std::size_t) {
-                       Clients& owner = self->owner_;
-                       if (failed) {
-                         // A process that was ended or stood still meanwhile owes nothing.
-                         if (!owner.stopped_ && owner.owed_(self->target_))
-                           owner.observer_.Unanswered(owner.now_(), self->id_,
-                                                      static_cast<std::uint32_t>(self->target_.member));
-                         return;
-                       }
-                       if (!self->counts_) return;
-                       const unsigned status = self->response_.result_int();
-                       owner.served_ += status == 200;
-                       owner.refused_ += status == 429 || status == 503;
-                     });
+    http::async_read(
+        stream_, buffer_, response_, [self = shared_from_this()](const Error& failed, std::size_t) {
+          Clients& owner = self->owner_;
+          if (failed) {
+            // A process that was ended or stood still meanwhile owes nothing.
+            if (!owner.stopped_ && owner.owed_(self->target_))
+              owner.observer_.Unanswered(owner.now_(), self->id_,
+                                         static_cast<std::uint32_t>(self->target_.member));
+            return;
+          }
+          const unsigned status = self->response_.result_int();
+          const bool refused = status == 429 || status == 503;
+          if (refused)
+            owner.observer_.Refused(owner.now_(), self->id_, static_cast<std::uint32_t>(self->target_.member),
+                                    {self->unsafe_, owner.may_have_run_(self->id_)});
+          if (!self->counts_) return;
+          owner.served_ += status == 200;
+          owner.refused_ += refused;
+        });
   }
 
   Clients& owner_;
   const Target target_;
   const std::uint64_t id_;
   const bool counts_;
+  bool unsafe_ = false;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
   http::request<http::string_body> request_;
@@ -302,13 +311,14 @@
 };
 
 Clients::Clients(asio::io_context& io, const Service& service, std::uint64_t seed, lab::Observer& observer,
-                 Choose choose, Owed owed, std::function<lab::Micros()> now)
+                 Choose choose, Owed owed, MayHaveRun may_have_run, std::function<lab::Micros()> now)
     : io_(io),
       service_(service),
       random_(seed, "clients"),
       observer_(observer),
       choose_(std::move(choose)),
       owed_(std::move(owed)),
+      may_have_run_(std::move(may_have_run)),
       now_(std::move(now)),
       timer_(io) {}
 
@@ -347,17 +357,20 @@
   };
   nlohmann::json zones = nlohmann::json::array();
   for (int i = 0; i < plan.zones; ++i) zones.push_back(ZoneName(plan, i));
-  return {
-      {"balancers", plan.members},
-      {"me", member},
-      {"zone", member % plan.zones},
-      {"zones", zones},
-      {"kinds", {"m"}},
-      {"classes", {cls("look", "read_like"), cls("book", "non_idempotent")}},
-      {"permissions",
-       {{"maxAttempts", 4}, {"connIdleMs", 60000.0}, {"connectTimeoutMs", 250.0}, {"retryAfter", false}}},
-      {"rules", {{"coldFrom", 0.2}, {"warmUpMs", 1000.0}, {"fallMultiple", 3.0}, {"overloadForMs", 1000.0}}},
-      {"tenants", nlohmann::json::array()}};
+  return {{"balancers", plan.members},
+          {"me", member},
+          {"zone", member % plan.zones},
+          {"zones", zones},
+          {"kinds", {"m"}},
+          {"classes", {cls("look", "read_like"), cls("book", "non_idempotent")}},
+          {"permissions",
+           {{"maxAttempts", 4}, {"connIdleMs", 60000.0}, {"connectTimeoutMs", 250.0}, {"retryAfter", false}}},
+          {"rules",
+           {{"coldFrom", plan.service.cold_from},
+            {"warmUpMs", plan.service.warm_up_s * 1000},
+            {"fallMultiple", plan.service.fall_multiple},
+            {"overloadForMs", plan.service.fall_ms}}},
+          {"tenants", nlohmann::json::array()}};
 }
 
 }  // namespace copperpoint::rig
--- a/src/rig/processes/service.h
+++ b/src/rig/processes/service.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// What the proxies of a rig serve, as stand-ins: a discovery, backends that count each execution by request,
-// and clients that ask at a given rate, whatever becomes of earlier requests, and time from the intended
-// sending.
+// What the proxies of a rig serve, as stand-ins: backends that count each execution by request, start cold
+// and fall over as the emulator's do, and clients that ask at a given rate, whatever becomes of earlier
+// requests, and time from the intended sending.
 #ifndef COPPERPOINT_RIG_PROCESSES_SERVICE_H_
 #define COPPERPOINT_RIG_PROCESSES_SERVICE_H_
 
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "lab/core/random.h"
+#include "lab/world/backend.h"
 #include "lab/world/observer.h"
 #include "rig/plan.h"
 #include "rig/processes/troubles.h"
@@ -35,9 +36,14 @@
   StandInBackends(boost::asio::io_context& io, const Plan& plan, std::uint64_t seed,
                   const boost::asio::ip::address& address, const Troubles& troubles, lab::Observer& observer,
                   std::function<lab::Micros()> now);
-  const std::vector<Tcp::endpoint>& addresses(int proxy) const {
-    return addresses_[static_cast<std::size_t>(proxy)];
-  }
+  const std::vector<std::vector<Tcp::endpoint>>& addresses() const { return addresses_; }  // by proxy
+  // `told`: whether a proxy knows of a backend's present start; `fell`: one was pushed over, and is down.
+  void Watch(std::function<bool(int proxy, int backend)> told, std::function<void(int backend)> fell);
+  void Down(int backend);  // its process ends; connections are reset, new ones refused
+  void Up(int backend);    // a new one, cold
+  // Whether an attempt of an unsafe request is out or has no proof that it did not run.
+  bool MayHaveRun(std::uint64_t request) const;
+  std::uint64_t falls() const { return falls_; }
   std::uint64_t executions() const;  // at all backends
   std::vector<int> holders() const;  // by backend: proxies with a connection to it
   std::uint64_t executions(int backend) const { return backends_[static_cast<std::size_t>(backend)].runs; }
@@ -45,12 +51,19 @@
  private:
   class Connection;
   struct Backend {
+    explicit Backend(const lab::Machine& machine) : model(machine, 0, 0, 1) {}
+    lab::Backend model;  // for cold starts; the queue is the stand-in's own
     int busy = 0;
     std::uint64_t runs = 0;
+    std::vector<std::weak_ptr<Connection>> open;
     std::shared_ptr<std::vector<int>> connections;  // by proxy; they may end after the owner
   };
-  void Accept(int proxy, int backend, Tcp::acceptor& acceptor);
-  void Ran(const std::string& id, bool unsafe, int backend);
+  void Accept(int proxy, int backend);
+  void Ran(std::uint64_t request, bool unsafe, int backend);
+  Tcp::acceptor& AcceptorOf(int proxy, int backend) {
+    return *acceptors_[static_cast<std::size_t>(proxy) * backends_.size() +
+                       static_cast<std::size_t>(backend)];
+  }
 
   boost::asio::io_context& io_;
   const Service& service_;
@@ -58,27 +71,15 @@
   lab::Random random_;
   lab::Observer& observer_;
   std::function<lab::Micros()> now_;
+  std::function<bool(int, int)> told_;
+  std::function<void(int)> fell_;
+  lab::Machine machine_;
   std::vector<Backend> backends_;
   std::vector<std::vector<Tcp::endpoint>> addresses_;
   std::vector<std::unique_ptr<Tcp::acceptor>> acceptors_;
-  std::unordered_map<std::string, int> runs_;
-};
-
-// One proxy's.
-class StandInDiscovery {
- public:
-  StandInDiscovery(boost::asio::io_context& io, const boost::asio::ip::address& address,
-                   const nlohmann::json& list, std::function<bool()> cut);
-  Tcp::endpoint address() const { return acceptor_.local_endpoint(); }
-
- private:
-  class Watch;
-  void Accept();
-
-  boost::asio::io_context& io_;
-  Tcp::acceptor acceptor_;
-  std::string line_;
-  std::function<bool()> cut_;
+  std::unordered_map<std::uint64_t, int> runs_;      // of unsafe requests
+  std::unordered_map<std::uint64_t, int> unproven_;  // their attempts that may have run
+  std::uint64_t falls_ = 0;
 };
 
 class Clients {
@@ -93,8 +94,10 @@
   using Choose = std::function<std::optional<Target>(lab::Random&)>;
   using Owed = std::function<bool(const Target&)>;
 
+  using MayHaveRun = std::function<bool(std::uint64_t request)>;
+
   Clients(boost::asio::io_context& io, const Service& service, std::uint64_t seed, lab::Observer& observer,
-          Choose choose, Owed owed, std::function<lab::Micros()> now);
+          Choose choose, Owed owed, MayHaveRun may_have_run, std::function<lab::Micros()> now);
   void Start(double count_from_s);
   void Stop();
 
@@ -113,6 +116,7 @@
   lab::Observer& observer_;
   Choose choose_;
   Owed owed_;
+  MayHaveRun may_have_run_;
   std::function<lab::Micros()> now_;
   boost::asio::steady_timer timer_;
   std::chrono::steady_clock::time_point due_;
--- a/src/rig/virtual.cpp
+++ b/src/rig/virtual.cpp
@@ -9,6 +9,7 @@
 
 #include "lab/core/queue.h"
 #include "lab/core/random.h"
+#include "rig/conditions.h"
 #include "rig/judge.h"
 #include "rig/links.h"
 #include "subsets/position.h"
@@ -37,6 +38,7 @@
         options_(options),
         random_(options.seed, "network"),
         links_(plan, options.seed),
+        conditions_(plan),
         judge_(plan, options.seed, static_cast<double>(options.view.silence.count()) / 1e6),
         nodes_(static_cast<std::size_t>(plan.members)) {}
 
@@ -66,6 +68,7 @@
     bool stopped = false;
     std::deque<std::pair<Kind, std::uint64_t>> waiting;  // what came while it stood still
     Micros wake = lab::kNeverMicros;
+    Micros ahead = 0;  // its clock, of virtual time
     subsets::Positions positions;
     int first = -1;  // backend of its subset; below 0: not known yet
     std::uint64_t hash = 0;
@@ -75,8 +78,10 @@
   };
 
   Node& At(int member) { return nodes_[static_cast<std::size_t>(member)]; }
-  void Start(int member);
+  Time Clock(const Node& node) const { return Time(queue_.now() + node.ahead); }
+  void Start(int member, bool at_once = false);
   void End(int member, bool with_a_word);
+  void Settle();
   void Replace(int member);
   void Run(const lab::Due& due);
   void Deliver(Kind kind, std::uint64_t message);
@@ -94,14 +99,19 @@
   std::vector<int> Holders() const;  // by backend, how many keep to it
   void BeginFault(std::size_t index);
   void EndFault(std::size_t index);
+  void Meet(std::string_view event, std::string_view member = {});
   void Snapshot(bool close);
+  std::vector<std::string> Differences() const;  // of views from the truth, a line each
 
   const Plan& plan_;
   const VirtualOptions& options_;
   lab::Random random_;
   Links links_;
+  Conditions conditions_;
+  std::vector<std::pair<const Fault*, std::vector<bool>>> slow_starts_;  // in force
   lab::Queue queue_;
   Judge judge_;
+  view::Records records_;
   std::vector<Node> nodes_;
   std::unordered_map<std::string, int> addresses_;
   std::vector<std::string> seeds_;
@@ -110,6 +120,7 @@
   std::vector<std::vector<int>> befalls_;  // by fault
   std::unordered_map<std::uint64_t, int> hashes_;
   int up_ = 0;
+  bool settling_ = false;
   bool divides_ = false;            // the backends, by the view
   std::uint64_t changed_over_ = 0;  // connections that members changed to other backends
   double rest_from_ = 0;
@@ -129,9 +140,14 @@
   return at;
 }
 
-void VirtualFleet::Start(int member) {
+void VirtualFleet::Start(int member, bool at_once) {
   Node& node = At(member);
   if (node.view) return;
+  for (const auto& [fault, whom] : slow_starts_) {
+    if (at_once || !whom[static_cast<std::size_t>(member)]) continue;
+    return queue_.Push(queue_.now() + FromMs(fault->amount * 1000), Rank::kNews, kStart,
+                       static_cast<std::uint32_t>(member), 1);
+  }
   ++node.life;
   view::Record self;
   self.set_name(MemberName(member));
@@ -141,22 +157,36 @@
   self.set_state(static_cast<std::uint32_t>(view::State::kServing));
   lab::Random draw(options_.seed, "member", static_cast<std::uint64_t>(member) << 20 | node.life);
   node.view = std::make_unique<view::View>(options_.view, peers::Seal(kCluster, kKey), std::move(self),
-                                           draw.Bits(), Time(queue_.now()));
+                                           draw.Bits(), Clock(node), &records_);
   node.stopped = false;
   node.wake = lab::kNeverMicros;
   node.positions = subsets::Positions();
   node.first = -1;
   ++up_;
   judge_.Started(Seconds(queue_.now()), member);
-  node.view->Join(Time(queue_.now()), seeds_);
+  if (settling_) return;
+  node.view->Join(Clock(node), seeds_);
   After(member);
 }
 
+void VirtualFleet::Settle() {
+  std::vector<std::shared_ptr<const view::Record>> all;
+  for (const Node& node : nodes_)
+    if (node.view) all.push_back(std::make_shared<view::Record>(node.view->self()));
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (!nodes_[i].view) continue;
+    nodes_[i].view->Settle(Time(0), all);
+    nodes_[i].view->Join(Time(0), seeds_);
+  }
+  for (std::size_t i = 0; i < nodes_.size(); ++i)
+    if (nodes_[i].view) After(static_cast<int>(i));
+}
+
 void VirtualFleet::End(int member, bool with_a_word) {
   Node& node = At(member);
   if (!node.view) return;
   if (with_a_word) {
-    node.view->Leave(Time(queue_.now()));
+    node.view->Leave(Clock(node));
     for (auto& datagram : node.view->Take().datagrams)
       Datagram(member, datagram.to, std::move(datagram.bytes));
   }
@@ -187,6 +217,7 @@
   const bool one =
       hashes_.size() == 1 && counts && node.view->members().living().size() == static_cast<std::size_t>(up_);
   judge_.Agreed(Seconds(queue_.now()), one);
+  if (one && up_ == plan_.members) Meet("settled");
   if (options_.timeline && hashes_.size() != last_views_) {
     last_views_ = hashes_.size();
     timeline_.push_back({Seconds(queue_.now()), last_views_});
@@ -203,20 +234,21 @@
     suspicions_ += event.kind == view::Happened::Kind::kSuspected;
     refutations_ += event.kind == view::Happened::Kind::kRefuted;
     healed_ += event.kind == view::Happened::Kind::kHealed;
+    Meet(std::string("fleet_") + view::NameOf(event.kind), event.name);
     if (event.kind == view::Happened::Kind::kDead)
       judge_.SaidDead(Seconds(queue_.now()), member, MemberAt(event.name + ":1"));
   }
   Recount(member);
   if (divides_) Place(node);
   const Time next = std::min(node.view->next(), node.positions.next());
-  if (next < Time(lab::kNeverMicros / 4) && next.count() < node.wake) {
-    node.wake = std::max<Micros>(next.count(), queue_.now() + 1);
+  if (next < Time(lab::kNeverMicros / 4) && next.count() - node.ahead < node.wake) {
+    node.wake = std::max<Micros>(next.count() - node.ahead, queue_.now() + 1);
     queue_.Push(node.wake, Rank::kTimeout, kWake, static_cast<std::uint32_t>(member), node.life);
   }
 }
 
 void VirtualFleet::Place(Node& node) {
-  const std::optional<double> turn = node.positions.Look(*node.view, Time(queue_.now()));
+  const std::optional<double> turn = node.positions.Look(*node.view, Clock(node));
   if (!turn) return;
   const int backends = plan_.service.backends;
   const int before = std::exchange(node.first, static_cast<int>(*turn * backends));
@@ -239,7 +271,7 @@
 void VirtualFleet::Datagram(int from, const std::string& to, std::string bytes) {
   const int target = MemberAt(to);
   if (target < 0 || random_.Chance(plan_.network.loss)) return;
-  const Links::Passage passage = links_.Pass(from, target, /*stream=*/false, &bytes);
+  const Links::Passage passage = links_.Pass(Seconds(queue_.now()), from, target, /*stream=*/false, &bytes);
   if (!passage.passes) return;
   for (int i = 0; i < passage.copies; ++i)
     queue_.Push(queue_.now() + Delay() + FromMs(passage.more_ms), Rank::kClient, kDatagram, 0,
@@ -249,8 +281,8 @@
 void VirtualFleet::Exchange(int from, const std::string& to, std::string bytes) {
   const int target = MemberAt(to);
   if (target < 0) return;
-  const Links::Passage there = links_.Pass(from, target, /*stream=*/true, &bytes);
-  const Links::Passage back = links_.Pass(target, from, /*stream=*/true, &bytes);
+  const Links::Passage there = links_.Pass(Seconds(queue_.now()), from, target, /*stream=*/true, &bytes);
+  const Links::Passage back = links_.Pass(Seconds(queue_.now()), target, from, /*stream=*/true, &bytes);
   if (!there.passes || !back.passes) return;
   const auto delay = static_cast<Micros>(2 * kExchangeRtts * static_cast<double>(Delay()));
   queue_.Push(queue_.now() + delay + FromMs(there.more_ms + back.more_ms), Rank::kClient, kAsked, 0,
@@ -267,7 +299,7 @@
     node.waiting.emplace_back(kind, at);
     return;
   }
-  const Time now(queue_.now());
+  const Time now = Clock(node);
   if (kind == kDatagram) {
     node.view->OnDatagram(now, MemberName(message.from) + ":1", message.bytes);
   } else if (kind == kAsked) {
@@ -293,6 +325,17 @@
 void VirtualFleet::BeginFault(std::size_t index) {
   const Fault& fault = plan_.faults[index];
   const std::vector<int>& members = befalls_[index];
+  if (!fault.when.empty()) {
+    judge_.Begun(Seconds(queue_.now()), fault);
+    if (fault.for_s > 0 && fault.kind != FaultKind::kStop && fault.kind != FaultKind::kStarve)
+      queue_.Push(queue_.now() + FromMs(fault.for_s * 1000), Rank::kNews, kEnd, 0, index);
+  }
+  if (fault.kind == FaultKind::kSlowStart) {
+    std::vector<bool> whom(nodes_.size());
+    for (const int member : members) whom[static_cast<std::size_t>(member)] = true;
+    slow_starts_.emplace_back(&fault, std::move(whom));
+    return;
+  }
   if (fault.OnLinks()) return links_.Begin(fault);
   if (fault.OnService()) return;  // there are no backends in virtual time
   for (const int member : members) {
@@ -316,8 +359,15 @@
           queue_.Push(queue_.now() + FromMs(fault.for_s * 1000), Rank::kNews, kContinue,
                       static_cast<std::uint32_t>(member), 0);
         break;
+      case FaultKind::kJump:
+        At(member).ahead += FromMs(fault.amount * 1000);
+        At(member).wake = lab::kNeverMicros;
+        if (At(member).view && !At(member).stopped) After(member);
+        break;
       default:  // starve
-        for (const auto& [from, to] : StopsOf(plan_, fault, random_)) {
+        Fault from_now = fault;
+        from_now.at_s = Seconds(queue_.now());
+        for (const auto& [from, to] : StopsOf(plan_, from_now, random_)) {
           queue_.Push(FromMs(from * 1000), Rank::kNews, kStop, static_cast<std::uint32_t>(member), 0);
           queue_.Push(FromMs(to * 1000), Rank::kNews, kContinue, static_cast<std::uint32_t>(member), 0);
         }
@@ -328,6 +378,8 @@
 void VirtualFleet::EndFault(std::size_t index) {
   const Fault& fault = plan_.faults[index];
   if (fault.OnLinks()) return links_.End(fault);
+  if (fault.kind == FaultKind::kSlowStart)
+    std::erase_if(slow_starts_, [&](const auto& one) { return one.first == &fault; });
   if (fault.kind == FaultKind::kReplace) {
     for (const int member : befalls_[index]) Replace(member);
   }
@@ -335,6 +387,11 @@
     for (const int member : befalls_[index]) Start(member);
 }
 
+void VirtualFleet::Meet(std::string_view event, std::string_view member) {
+  for (const std::size_t index : conditions_.Met(event, member))
+    queue_.Push(queue_.now() + FromMs(plan_.faults[index].at_s * 1000), Rank::kNews, kBegin, 0, index);
+}
+
 void VirtualFleet::Snapshot(bool close) {
   for (Node& node : nodes_) {
     const view::Counters now = node.view ? node.view->counters() : view::Counters();
@@ -358,7 +415,7 @@
       if (!node.view || node.life != due.b || node.wake != due.at) return;
       if (node.stopped) return;  // it looks at its timers when it goes on
       node.wake = lab::kNeverMicros;
-      if (node.view->next() <= Time(due.at)) node.view->OnTick(Time(due.at));
+      if (node.view->next() <= Clock(node)) node.view->OnTick(Clock(node));
       return After(member);
     }
     case kDatagram:
@@ -370,7 +427,7 @@
     case kEnd:
       return EndFault(due.b);
     case kStart:
-      return Start(member);
+      return Start(member, /*at_once=*/due.b != 0);
     case kStop:
       if (At(member).view && !std::exchange(At(member).stopped, true))
         judge_.Stopped(Seconds(due.at), member);
@@ -382,7 +439,7 @@
       // Timers and sockets are due at once, and a loop may look at either first. What waits comes oldest
       // first.
       if (random_.Chance(0.5)) {
-        node.view->OnTick(Time(due.at));
+        node.view->OnTick(Clock(node));
         After(member);
       }
       auto waiting = std::exchange(node.waiting, {});
@@ -390,7 +447,7 @@
         if (node.view) Deliver(kind, message);
       }
       node.wake = lab::kNeverMicros;
-      node.view->OnTick(Time(due.at));
+      node.view->OnTick(Clock(node));
       return After(member);
     }
     default:
@@ -398,6 +455,34 @@
   }
 }
 
+// What views differ in from the truth, for the story of a run that did not settle.
+std::vector<std::string> VirtualFleet::Differences() const {
+  constexpr std::size_t kMostLines = 12;
+  std::vector<std::string> lines;
+  for (const Node& node : nodes_) {
+    if (!node.view) continue;
+    std::string wrong;
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      const view::Members& members = node.view->members();
+      const std::string name = MemberName(static_cast<int>(i));
+      const int at = members.Find(name);
+      const bool thinks = at >= 0 && members[at].living(), lives = nodes_[i].view != nullptr;
+      if (thinks != lives) {
+        wrong += " " + name + (lives ? (at < 0 ? " is unknown," : " is gone,") : " lives,");
+      } else if (lives && members[at].record->life() != nodes_[i].view->self().life()) {
+        wrong += " " + name + " is an older process,";
+      } else if (lives && members[at].record->incarnation() != nodes_[i].view->self().incarnation()) {
+        wrong += " " + name + " has another incarnation,";
+      }
+    }
+    if (wrong.empty()) continue;
+    wrong.pop_back();
+    lines.push_back("to " + node.view->self().name() + (node.view->silent() ? " (silent)" : "") + wrong);
+    if (lines.size() >= kMostLines) break;
+  }
+  return lines;
+}
+
 Outcome VirtualFleet::Play() {
   for (int i = 0; i < plan_.members; ++i) addresses_[MemberName(i) + ":1"] = i;
   for (int i = 0; i < std::min(plan_.seeds, plan_.members); ++i) seeds_.push_back(MemberName(i) + ":1");
@@ -407,15 +492,22 @@
     befalls_.push_back(fault.OnService() ? std::vector<int>() : Chosen(plan_, fault.who, options_.seed));
     if (fault.kind == FaultKind::kStart)
       for (const int member : befalls_[i]) late[static_cast<std::size_t>(member)] = true;
+    if (!fault.when.empty()) continue;
     queue_.Push(FromMs(fault.at_s * 1000), Rank::kNews, kBegin, 0, i);
     if (fault.for_s > 0 && fault.kind != FaultKind::kStop && fault.kind != FaultKind::kStarve)
       queue_.Push(FromMs((fault.at_s + fault.for_s) * 1000), Rank::kNews, kEnd, 0, i);
   }
   for (int i = 0; i < plan_.members; ++i) {
-    if (!late[static_cast<std::size_t>(i)])
+    if (late[static_cast<std::size_t>(i)]) continue;
+    if (options_.settled) {
+      settling_ = true;
+      Start(i);
+    } else {
       queue_.Push(FromMs(random_.Between(0, plan_.start_spread_s) * 1000), Rank::kNews, kStart,
                   static_cast<std::uint32_t>(i), 0);
+    }
   }
+  if (std::exchange(settling_, false)) Settle();
   rest_from_ = LastFaultOver(plan_);
   for (const Property& property : plan_.properties) {
     if (property.kind == PropertyKind::kBytesAtMost && property.after_s >= 0) rest_from_ = property.after_s;
@@ -430,6 +522,7 @@
     Run(due);
   }
   Snapshot(/*close=*/true);
+  for (const std::string& when : conditions_.unmet()) judge_.Unmet(when);
   std::uint64_t shed = 0;
   for (const Node& node : nodes_) {
     if (!node.view) continue;
@@ -440,6 +533,8 @@
   if (divides_) judge_.Holders(Holders());
   Judge::Verdict verdict = judge_.Close(plan_.length_s, /*with_service=*/false);
   Outcome outcome{verdict.holds, std::move(verdict.json), std::move(verdict.story)};
+  if (!outcome.holds)
+    for (std::string& line : Differences()) outcome.story.push_back(std::move(line));
   outcome.json["seed"] = options_.seed;
   outcome.json["members"] = plan_.members;
   outcome.json["suspicions"] = suspicions_;
@@ -448,7 +543,10 @@
   outcome.json["news_shed"] = shed;
   if (divides_) outcome.json["changed_over"] = changed_over_;
   outcome.json["events"] = queue_.taken();
-  if (options_.timeline) outcome.json["views"] = std::move(timeline_);
+  if (options_.timeline) {
+    outcome.json["views"] = std::move(timeline_);
+    outcome.json["spread"] = judge_.Spread();
+  }
   return outcome;
 }
 
--- a/src/rig/virtual.h
+++ b/src/rig/virtual.h
@@ -23,6 +23,7 @@
 struct VirtualOptions {
   std::uint64_t seed = 1;
   view::Options view;
+  bool settled = false;   // those that start with the run have long known each other
   bool timeline = false;  // keeps how many views there are over time, for plots
 };
 
--- a/src/view/members.h
+++ b/src/view/members.h
@@ -9,11 +9,13 @@
 #define COPPERPOINT_VIEW_MEMBERS_H_
 
 #include <array>
+#include <boost/unordered/unordered_flat_map.hpp>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <unordered_map>
+#include <tuple>
 #include <vector>
 
 #include "message.pb.h"
@@ -46,15 +48,30 @@
   bool living() const { return status <= Status::kSuspect; }
 };
 
+// For many views in one process, as in virtual time: records that are equal are kept once. One thread's.
+class Records {
+ public:
+  std::shared_ptr<const Record> Share(std::shared_ptr<const Record> record);
+
+ private:
+  // Its owner alone writes a record, so these say all of it; the size tells a bare one from a whole.
+  using Key = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t, std::size_t>;
+  std::map<Key, std::weak_ptr<const Record>> records_;
+  std::size_t sweep_at_ = 1024;
+};
+
 class Members {
  public:
+  explicit Members(Records* shared = nullptr) : shared_(shared) {}
+
   static constexpr std::size_t kBuckets = 64;
   static constexpr int kNone = -1;
 
   int Find(std::string_view name) const;
   const Entry& operator[](int at) const { return entries_[static_cast<std::size_t>(at)]; }
   Entry& Mutable(int at) { return entries_[static_cast<std::size_t>(at)]; }
-  std::size_t size() const { return by_name_.size(); }
+  std::size_t size() const { return size_; }
+  void Reserve(std::size_t members);
   const std::vector<int>& living() const { return living_; }
 
   int Add(std::shared_ptr<const Record> record, Status status, Time now);
@@ -77,8 +94,13 @@
   void Count(const Entry& entry);  // in or out of the hashes: the same sum both ways
 
   std::vector<Entry> entries_;
+  Records* shared_;
+  std::size_t size_ = 0;
   std::vector<int> free_, living_;
-  std::unordered_map<std::string, int> by_name_;
+  // By a hash of the name, so that a name is kept once, in its record; the few whose hash is another's by
+  // name.
+  boost::unordered_flat_map<std::uint64_t, int> by_hash_;
+  std::map<std::string, int, std::less<>> by_name_;
   std::array<std::uint64_t, kBuckets> buckets_{};
   std::uint64_t hash_ = 0;
 };
--- a/src/view/news.cpp
+++ b/src/view/news.cpp
@@ -57,7 +57,7 @@
   }
 }
 
-void News::Fill(wire::Message* message, std::size_t most_bytes, int times, Time now) {
+std::size_t News::Fill(wire::Message* message, std::size_t most_bytes, int times, Time now) {
   std::vector<Key> chosen;
   std::size_t used = 0;
   int passed_over = 0;
@@ -87,6 +87,7 @@
       by_told_.insert({item.told, key});
     }
   }
+  return used;
 }
 
 }  // namespace copperpoint::view
--- a/src/view/news.h
+++ b/src/view/news.h
@@ -26,8 +26,9 @@
   void Tell(wire::Heard heard, Time now);
   void Forget(const std::string& name);
 
-  // Fills `message` up to `most_bytes` of claims; each counts as told once more, and goes after `times`.
-  void Fill(wire::Message* message, std::size_t most_bytes, int times, Time now);
+  // Fills `message` up to `most_bytes` of claims; each counts as told once more, and goes after `times`. The
+  // bytes that they take, about.
+  std::size_t Fill(wire::Message* message, std::size_t most_bytes, int times, Time now);
 
   bool empty() const { return items_.empty(); }
   std::size_t size() const { return items_.size(); }
--- a/src/view/prober.h
+++ b/src/view/prober.h
@@ -40,17 +40,18 @@
 
 class Prober {
  public:
-  // The next of `names` whose turn it is; `names` is asked for when an order is used up.
-  template <typename Names>
-  std::string Next(Names names, Draw& draw) {
+  // The next of the places that `places` gives whose turn it is; they are asked for when an order is used up.
+  // Below 0: there are none. Who stands at a place may have changed since: another has that turn then.
+  template <typename Places>
+  int Next(Places places, Draw& draw) {
     if (order_.empty()) {
-      order_ = names();
+      order_ = places();
       for (std::size_t i = order_.size(); i > 1; --i) std::swap(order_[i - 1], order_[draw.Below(i)]);
     }
-    if (order_.empty()) return "";
-    std::string name = std::move(order_.back());
+    if (order_.empty()) return -1;
+    const int place = order_.back();
     order_.pop_back();
-    return name;
+    return place;
   }
 
   Probe& Start(std::string target, std::uint32_t incarnation, Time now, bool judging) {
@@ -71,7 +72,7 @@
   }
 
  private:
-  std::vector<std::string> order_;
+  std::vector<int> order_;
   std::vector<Probe> out_;
   std::uint32_t last_id_ = 0;
 };
--- a/src/view/view.cpp
+++ b/src/view/view.cpp
@@ -46,13 +46,17 @@
   return "unknown";
 }
 
-View::View(const Options& options, peers::Seal seal, Record self, std::uint64_t seed, Time now)
+View::View(const Options& options, peers::Seal seal, Record self, std::uint64_t seed, Time now,
+           Records* shared)
     : options_(options),
       seal_(std::move(seal)),
       draw_(Mix(seed)),
+      members_(shared),
       life_(Mix(seed + 0x9e3779b97f4a7c15u) | 1),
       news_(options.most_news),
       suspicions_(options_),
+      allowance_(static_cast<double>(options.most_told)),
+      allowed_at_(now),
       next_probe_(now + options.period * static_cast<int>(draw_.Below(1000)) / 1000),
       next_gossip_(now),
       next_retry_(now + options.retry),
@@ -72,6 +76,14 @@
   me_ = members_.Add(std::make_shared<Record>(std::move(self)), Status::kAlive, now);
 }
 
+void View::Settle(Time now, const std::vector<std::shared_ptr<const Record>>& others) {
+  now = Enter(now);
+  members_.Reserve(others.size());
+  for (const auto& record : others)
+    if (record->name() != self().name()) members_.Add(record, Status::kAlive, now);
+  established_ = true;
+}
+
 void View::Join(Time now, std::vector<std::string> seeds) {
   now = Enter(now);
   seeds_ = std::move(seeds);
--- a/src/view/view.h
+++ b/src/view/view.h
@@ -66,12 +66,15 @@
  public:
   // `self` has name, address, zone and versions; life and incarnation are drawn here from `seed`, which must
   // be another one in each process. Throws std::invalid_argument if a field is too large for a message.
-  View(const Options& options, peers::Seal seal, Record self, std::uint64_t seed, Time now);
+  View(const Options& options, peers::Seal seal, Record self, std::uint64_t seed, Time now,
+       Records* shared = nullptr);
+  // In virtual time: begins as one that has long been there, among `others`.
+  void Settle(Time now, const std::vector<std::shared_ptr<const Record>>& others);
 
-  // Addresses of members to begin with; those that do not answer are asked again from time to time.
   View(const View&) = delete;
   View& operator=(const View&) = delete;
 
+  // Addresses of members to begin with; those that do not answer are asked again from time to time.
   void Join(Time now, std::vector<std::string> seeds);
   void OnDatagram(Time now, const std::string& from, std::string_view bytes);
   std::string OnExchange(Time now, std::string_view frame);  // its answer; empty: none
@@ -118,6 +121,7 @@
   wire::Message Begin(wire::Kind kind);
   peers::Refusal Open(std::string_view bytes, wire::Message* message);  // and counts what is refused
   void Send(wire::Message message, const std::string& to, int at, Time now);
+  std::size_t Allowance(Time now);  // bytes of claims that may be told now
   void Gossip(Time now);
   bool Admit(const wire::Message& message, const std::string& from, Time now);  // false: dropped
   void OnRival(const wire::Message& message, const std::string& from, Time now);
@@ -173,6 +177,8 @@
   bool established_ = false, silent_ = false;
   int agreed_ = 0;
   std::uint32_t sequence_ = 0;
+  double allowance_;  // bytes, at `allowed_at_`
+  Time allowed_at_;
   Time away_{};  // for which this process stood still, all told
   Time next_probe_, next_gossip_, next_retry_, next_seed_, next_sweep_, next_sync_, next_refusal_,
       next_judgement_, changed_, last_agreed_;
--- a/src/view/view_claims.cpp
+++ b/src/view/view_claims.cpp
@@ -66,11 +66,16 @@
   const Record& record = claim.record();
   if (record.name().empty() || record.name().size() > options_.most_name) return;
   if (record.name() == self().name()) return OnOwnName(claim, now);
-  if (retired_.contains(record.life())) {
+  const int at = members_.Find(record.name());
+  // A life that was taken for over may have lost its name to an older one only for a while: where both
+  // restart at once, the news of the process before may come later than that of the present one. It alone can
+  // claim a later incarnation; what merely comes late cannot.
+  if (retired_.contains(record.life()) &&
+      (at == Members::kNone || !Before(record.incarnation(), record.life(),
+                                       members_[at].record->incarnation(), members_[at].record->life()))) {
     ++counters_.replays;
     return;
   }
-  const int at = members_.Find(record.name());
   const std::string& by = claim.by().empty() ? from : claim.by();
   switch (claim.status()) {
     case wire::STATUS_ALIVE:
@@ -122,8 +127,11 @@
   const bool same = entry.record->life() == record->life();
   const Status was = entry.status;
   const bool whole = !record->address().empty();
-  if (!same) Retire(entry.record->life());
   if (!entry.living() && !whole) return;
+  if (!same) {
+    retired_.erase(record->life());
+    Retire(entry.record->life());
+  }
   suspicions_.End(at);
   members_.Set(at, std::move(record), Status::kAlive, now);
   changed_ = now;
--- a/src/view/view_messages.cpp
+++ b/src/view/view_messages.cpp
@@ -41,15 +41,24 @@
     if (entry.status != Status::kAlive) *message.add_claims() = ClaimOf(at, now);
   }
   const std::size_t used = peers::kHeader + message.ByteSizeLong() + kReserve;
-  if (used < peers::kMostDatagram && message.to_life() != 0)
-    news_.Fill(&message, peers::kMostDatagram - used,
-               Retransmissions(members_.living().size(), options_.retransmit), now);
+  if (used < peers::kMostDatagram && message.to_life() != 0 && !news_.empty())
+    allowance_ -=
+        static_cast<double>(news_.Fill(&message, std::min(peers::kMostDatagram - used, Allowance(now)),
+                                       Retransmissions(members_.living().size(), options_.retransmit), now));
   std::string bytes = seal_.Close(message);
   ++counters_.sent;
   counters_.sent_bytes += bytes.size();
   output_.datagrams.push_back({to, std::move(bytes)});
 }
 
+// A storm of events, as when all restart at once, is told at a bounded rate. Probes and answers go on.
+std::size_t View::Allowance(Time now) {
+  const auto rate = static_cast<double>(options_.most_told);
+  allowance_ = std::min(rate, allowance_ + rate * std::chrono::duration<double>(now - allowed_at_).count());
+  allowed_at_ = now;
+  return static_cast<std::size_t>(std::max(0.0, allowance_));
+}
+
 void View::Gossip(Time now) {
   next_gossip_ = now + options_.gossip;
   const auto& living = members_.living();
@@ -111,8 +120,7 @@
   }
   Entry& entry = members_.Mutable(at);
   if (entry.record->life() != message.life()) {
-    if (retired ||
-        !Before(message.incarnation(), message.life(), entry.record->incarnation(), entry.record->life())) {
+    if (!Before(message.incarnation(), message.life(), entry.record->incarnation(), entry.record->life())) {
       if (message.kind() == wire::KIND_SYNC)
         return true;  // one that has just started: it is told what to go above
       ++counters_.older_lives;
--- a/src/view/view_probes.cpp
+++ b/src/view/view_probes.cpp
@@ -15,19 +15,16 @@
 }  // namespace
 
 void View::ProbeNext(Time now) {
-  const auto names = [this] {
-    std::vector<std::string> all;
-    all.reserve(members_.living().size());
-    for (const int at : members_.living())
-      if (at != me_) all.push_back(members_[at].record->name());
+  const auto others = [this] {
+    std::vector<int> all = members_.living();
+    std::erase(all, me_);
     return all;
   };
   // Those gone since the order was drawn are passed over; each order is walked once at most.
   for (std::size_t i = 0; i <= members_.living().size(); ++i) {
-    const std::string name = prober_.Next(names, draw_);
-    if (name.empty()) return;
-    const int at = members_.Find(name);
-    if (at == Members::kNone || !members_[at].living()) continue;
+    const int at = prober_.Next(others, draw_);
+    if (at < 0) return;
+    if (!members_[at].record || !members_[at].living()) continue;
     Ask(at, /*judging=*/false, now);
     return;
   }
@@ -113,6 +110,7 @@
 
 // So that halves of a fleet find each other again: whoever answers is no longer dead.
 void View::AskTheDead(Time now) {
+  if (members_.living().size() == members_.size()) return;
   int chosen = Members::kNone;
   std::size_t seen = 0;
   members_.Each([&](int at, const Entry& entry) {
--- a/tests/rig/rig_test.cpp
+++ b/tests/rig/rig_test.cpp
@@ -42,8 +42,8 @@
 }
 INSTANTIATE_TEST_SUITE_P(Files, Virtual,
                          ::testing::Values("join", "crash", "pause", "one_way_cut", "split",
-                                           "rolling_restart", "restart_faster", "loss", "islands",
-                                           "subsets"));
+                                           "rolling_restart", "restart_faster", "loss", "islands", "subsets",
+                                           "half_done", "jump", "thin_links", "restart_most"));
 
 TEST(Virtual, TheSameSeedIsTheSameRunToTheByte) {
   const Plan plan = ReadPlan(File("loss"));
@@ -139,7 +139,8 @@
 }
 INSTANTIATE_TEST_SUITE_P(Files, Processes,
                          ::testing::Values("join", "crash", "pause", "one_way_cut", "split",
-                                           "rolling_restart", "subsets", "service"));
+                                           "rolling_restart", "subsets", "service", "release", "half_done",
+                                           "thin_links", "restart_most"));
 
 // The program with the format to come, which adds a field, beside this one, in both orders of replacement.
 TEST(Rig, OldAndNewFormatsLiveSideBySide) {
@@ -150,6 +151,41 @@
   EXPECT_EQ(testing_support::ReadWhole(folder / "logs/p12.log").find("fleet_too_new"), std::string::npos);
 }
 
+// The program with a clock that jumps where the rig says so.
+TEST(Rig, ClocksThatJumpTakeNobodyDown) {
+  const TemporaryFolder folder;
+  const Finished finished =
+      RunFile(File("jump") + " --other " + NEXT_PATH + " --logs " + (folder / "logs") + " --seed 1");
+  EXPECT_EQ(finished.code, 0) << finished.out << finished.err;
+}
+
+// Without what it waits for, a fault never begins, and the run has not shown anything.
+TEST(Rig, AFaultThatWaitsInVainIsAFailure) {
+  const TemporaryFolder folder;
+  const std::string file = folder.Write(
+      "f.toml",
+      "members = 3\nlength_s = 4\n[[fault]]\nkind = \"kill\"\nwhen = \"fleet_dead:p3\"\nat_s = 0\n"
+      "who = [\"p1\"]\n[[property]]\nkind = \"never_removed\"\n");
+  const Finished finished = RunFile(file + " --virtual");
+  EXPECT_EQ(finished.code, 1) << finished.out;
+  EXPECT_NE(finished.out.find("fleet_dead:p3"), std::string::npos) << finished.out;
+}
+
+// The rig's rules of service see what a proxy would do wrong: here the stand-ins are asked by nobody who
+// knows better than to send to a backend that drains.
+TEST(Rig, ADrainThatAProxyDoesNotHearOfIsNoFaultOfItsOwn) {
+  const TemporaryFolder folder;
+  const std::string text =
+      "members = 3\nlength_s = 6\n[[fault]]\nkind = \"drain\"\nat_s = 2\nwho = [\"b1\"]\n"
+      "[[fault]]\nkind = \"cut_service\"\nat_s = 1.5\nwho = [\"all\"]\nto = [\"discovery\"]\n"
+      "[[property]]\nkind = \"served_at_least\"\nafter_s = 2\nbound = 0.9\n"
+      "[[property]]\nkind = \"traffic_share\"\nafter_s = 3\nwho = [\"b1\"]\nbound = 0.01\n";
+  const Finished finished = RunFile(folder.Write("f.toml", text));
+  EXPECT_EQ(finished.code, 1) << finished.out << finished.err;
+  EXPECT_NE(finished.out.find("traffic_share"), std::string::npos) << finished.out;
+  EXPECT_EQ(finished.out.find("broken rule"), std::string::npos) << finished.out;
+}
+
 // Each fault on the service bites: without it the same plan holds.
 TEST(Rig, BackendsThatFreezeOrAreCutOffServeNothing) {
   const TemporaryFolder folder;
--- /dev/null
+++ b/tests/view/fuzz_frame.cpp
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// For the compiler's own fuzzer (docs/view.md has the command and for how long it was run): whatever comes as
+// a datagram or a frame, sealed or not, a member neither falls nor loses its name, and what was not sealed
+// changes nothing.
+#include <cstdint>
+#include <cstdlib>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "view/view.h"
+
+namespace {
+
+using copperpoint::peers::Seal;
+using copperpoint::view::Record;
+using copperpoint::view::Time;
+using copperpoint::view::View;
+
+constexpr char kKey[] = "sixteen bytes or more";
+
+std::unique_ptr<View> Member(const std::string& name) {
+  Record self;
+  self.set_name(name);
+  self.set_address(name);
+  return std::make_unique<View>(copperpoint::view::Options(), Seal("c", kKey), self, 7, Time(1'000'000));
+}
+
+void Require(bool holds) {
+  if (!holds) std::abort();
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  if (size < 2) return 0;
+  const int how = data[0] % 4;
+  const auto later = Time(1'000'000 + 10'000 * data[1]);
+  std::string bytes(reinterpret_cast<const char*>(data) + 2, size - 2);
+  const auto a = Member("a"), b = Member("b");
+  a->Join(Time(1'000'000), {"b"});
+  for (const auto& exchange : a->Take().exchanges) {
+    const std::string answer = b->OnExchange(Time(1'000'100), exchange.bytes);
+    a->OnReply(Time(1'000'200), answer);
+  }
+  a->Take();
+  const auto before = a->members().hash();
+  if (how == 0) {
+    a->OnDatagram(later, "x", bytes);
+    Require(a->members().hash() == before);  // nobody has the key
+  } else if (how == 1) {
+    a->OnDatagram(later, "x", Seal("c", kKey).Close(std::string_view(bytes)));
+  } else if (how == 2) {
+    a->OnExchange(later, Seal("c", kKey).Close(std::string_view(bytes)));
+  } else {
+    a->OnReply(later, Seal("c", kKey).Close(std::string_view(bytes)));
+  }
+  a->Take();
+  for (int i = 1; i < 20; ++i) {
+    a->OnTick(later + Time(100'000) * i);
+    for (const auto& datagram : a->Take().datagrams)
+      Require(datagram.bytes.size() <= copperpoint::peers::kMostDatagram);
+  }
+  Require(a->self().name() == "a");
+  return 0;
+}
--- a/tests/view/view_test.cpp
+++ b/tests/view/view_test.cpp
@@ -195,6 +195,53 @@
   EXPECT_EQ(net.Count("a", Happened::Kind::kJoined, "d"), 2);
 }
 
+// Two restart at once. Each hears of the other's present process first, and then, from one that stayed, of
+// the process before: the older news must not end the present process for good.
+TEST(View, NewsOfTheProcessBeforeThatComesLateEndsNobody) {
+  Net net;
+  for (const char* name : {"a", "b", "c"}) net.Add(name);
+  net.Run(2000);
+  wire::Claim before;
+  *before.mutable_record() = net.views["b"]->self();
+  before.mutable_record()->set_incarnation(before.record().incarnation() + 3);  // it had refuted suspicions
+  net.views.erase("b");
+  net.Add("b", {"a"}, 77);
+  net.Run(2000);
+  ASSERT_TRUE(net.OneView());
+  wire::Message late =
+      MessageOf(*net.views["c"], wire::KIND_GOSSIP, net.views["a"]->self().life(), net.sequences["c"] + 1);
+  *late.add_claims() = before;
+  net.Deliver("a", late);
+  net.Run(4000);
+  EXPECT_TRUE(net.OneView());
+  EXPECT_FALSE(net.views["b"]->silent());
+  const auto& members = net.views["a"]->members();
+  EXPECT_EQ(members[members.Find("b")].record->life(), net.views["b"]->self().life());
+}
+
+// A storm of events is told at a bounded rate, and probes go on meanwhile.
+TEST(View, AStormOfEventsIsToldAtABoundedRate) {
+  view::Options options;
+  options.most_told = 8 * 1024;
+  Net net(options);
+  constexpr int kMembers = 60;
+  for (int i = 0; i < kMembers; ++i) net.Add(std::string("m").append(std::to_string(i)), {"m0"});
+  for (int second = 0; second < 8; ++second) {
+    std::map<std::string, std::uint64_t> before;
+    for (auto& [name, v] : net.views) before[name] = v->counters().sent_bytes;
+    for (auto& [name, v] : net.views) v->Publish(net.now, "k", std::to_string(second));
+    net.Run(1000);
+    for (auto& [name, v] : net.views) {
+      const std::uint64_t sent = v->counters().sent_bytes - before[name];
+      // What has no news in it: probes, answers and gossip without room, 100 bytes each at most.
+      EXPECT_LT(sent, 2 * options.most_told + 100 * 200) << name;
+      EXPECT_GT(sent, 5u * 60u) << name;
+    }
+  }
+  net.Run(8000);
+  EXPECT_TRUE(net.OneView());
+}
+
 TEST(View, OfTwoProcessesWithOneNameTheOlderFallsSilent) {
   Net net;
   for (const char* name : {"a", "b", "c"}) net.Add(name);
