--- a/src/cli/fleet_view.cpp
+++ b/src/cli/fleet_view.cpp
@@ -5,14 +5,6 @@
 
 #include <CLI/Config.hpp>
 #include <CLI/Formatter.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
 #include <chrono>
 #include <iostream>
 #include <map>
@@ -24,46 +16,15 @@
 #include <thread>
 #include <vector>
 
+#include "cli/ask.h"
 #include "cli/commands.h"
-#include "peers/transport.h"
 
 namespace copperpoint::cli {
 namespace {
 
-namespace http = boost::beast::http;
-
-constexpr std::chrono::seconds kAnswer{2};
-constexpr std::uint64_t kMostAnswer = 64 * 1024 * 1024;
-
-// What a proxy says at its operator's address. Throws std::runtime_error, one line.
-nlohmann::json Ask(const std::string& address) {
-  boost::asio::ip::udp::endpoint parsed;
-  if (!peers::ParseAddress(address, &parsed))
-    throw std::invalid_argument("'" + address + "' is no ADDRESS:PORT");
-  boost::asio::io_context io;
-  boost::beast::tcp_stream stream(io);
-  boost::beast::flat_buffer buffer;
-  http::request<http::empty_body> request{http::verb::get, "/fleet", 11};
-  request.set(http::field::host, address);
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(kMostAnswer);
-  boost::system::error_code failed;
-  stream.expires_after(kAnswer);
-  stream.async_connect({parsed.address(), parsed.port()}, [&](const boost::system::error_code& error) {
-    if ((failed = error)) return;
-    http::async_write(stream, request, [&](const boost::system::error_code& broken, std::size_t) {
-      if ((failed = broken)) return;
-      http::async_read(stream, buffer, parser,
-                       [&](const boost::system::error_code& end, std::size_t) { failed = end; });
-    });
-  });
-  io.run();
-  if (failed) throw std::runtime_error(address + ": " + failed.message());
-  const auto& response = parser.get();
-  if (response.result() != http::status::ok)
-    throw std::runtime_error(fmt::format("{}: {} {}", address, response.result_int(),
-                                         response.body().substr(0, response.body().find('\n'))));
-  auto json = nlohmann::json::parse(response.body(), nullptr, /*allow_exceptions=*/false);
+// The view of a proxy. Throws std::runtime_error, one line.
+nlohmann::json ViewOf(const std::string& address) {
+  auto json = nlohmann::json::parse(Ask(address, "/fleet"), nullptr, /*allow_exceptions=*/false);
   if (!json.is_object() || !json.contains("members"))
     throw std::runtime_error(address + ": no view of a fleet");
   return json;
@@ -101,7 +62,7 @@
   for (const std::string& address : addresses) {
     nlohmann::json view;
     try {
-      view = Ask(address);
+      view = ViewOf(address);
     } catch (const std::runtime_error& error) {
       std::cout << error.what() << '\n';
       ++faults;
@@ -147,7 +108,7 @@
   show->add_flag("--watch", options->watch, "Again each second, until interrupted");
   show->callback([options] {
     for (;;) {
-      const nlohmann::json view = Ask(options->address);
+      const nlohmann::json view = ViewOf(options->address);
       options->json ? void(std::cout << view.dump(1) << std::endl) : Show(view);
       if (!options->watch) return;
       std::cout << std::endl;
--- a/src/view/documents.h
+++ b/src/view/documents.h
@@ -1,9 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// What all members are to hold in its latest version: a few small documents, and marks, which are versions alone.
-// Each message names the versions that its sender holds; whoever holds an older one takes the mark, or fetches the
-// document from the sender. So a version is with all in about as many periods as the logarithm of the members
-// (epidemic pull: Demers and others, 1987), and costs each message a dozen bytes.
+// What all members are to hold in its latest version: a few small documents, and marks, which are versions
+// alone. Each message names the versions that its sender holds; whoever holds an older one takes the mark, or
+// fetches the document from the sender. So a version is with all in about as many periods as the logarithm of
+// the members (epidemic pull: Demers and others, 1987), and costs each message a dozen bytes.
 #ifndef COPPERPOINT_VIEW_DOCUMENTS_H_
 #define COPPERPOINT_VIEW_DOCUMENTS_H_
 
@@ -30,8 +30,8 @@
  public:
   static constexpr std::size_t kMostTopics = 8, kMostBody = 64 * 1024;
 
-  // Asked before a later version is taken from others; without one all are taken. A part that is busy with one
-  // document refuses the next.
+  // Asked before a later version is taken from others; without one all are taken. A part that is busy with
+  // one document refuses the next.
   using Gate = std::function<bool(Topic, std::uint64_t version)>;
   void SetGate(Gate gate) { gate_ = std::move(gate); }
 
--- a/src/view/options.h
+++ b/src/view/options.h
@@ -31,6 +31,7 @@
   std::size_t most_members = 20000;           // living and dead
   std::size_t most_news = 4096;               // claims waiting to be passed on
   std::size_t most_told = 64 * 1024;          // bytes a second of claims in datagrams; what is over waits
+  std::size_t most_letter = 900;              // bytes that one part may say to another member at once
   std::size_t most_bag = 16, most_value = 64, most_name = 64;  // values of a member; bytes of one; of a name
 
   // Switched off only to show what each is worth (docs/view.md).
--- a/src/view/view.cpp
+++ b/src/view/view.cpp
@@ -65,6 +65,7 @@
       next_sync_(now),
       next_refusal_(now),
       next_judgement_(now),
+      next_fetch_(now),
       changed_(now),
       last_agreed_(now),
       alone_at_(now + kAlone),
--- a/src/view/view.h
+++ b/src/view/view.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "peers/frame.h"
+#include "view/documents.h"
 #include "view/members.h"
 #include "view/news.h"
 #include "view/options.h"
@@ -50,9 +51,18 @@
 };
 const char* NameOf(Happened::Kind kind);
 
+// From another member, for a part of the program.
+struct Letter {
+  std::string from;
+  Topic topic = 0;
+  std::string body;
+};
+
 struct Output {
   std::vector<Outgoing> datagrams, exchanges;
   std::vector<Happened> events;
+  std::vector<Letter> letters;
+  std::vector<Topic> documents;  // of which a later version is held now
 };
 
 struct Counters {
@@ -85,6 +95,13 @@
   void SetState(Time now, State state);
   // A value that this member publishes. False where it would not fit: the bag is bounded.
   bool Publish(Time now, const std::string& key, const std::string& value);
+  // A letter to a member: one datagram, lost as any other. False: nobody living has that name, or it is too
+  // large.
+  bool Mail(Time now, const std::string& to, Topic topic, std::string body);
+  // From here on all members are to hold this version; empty: a mark. False: a later one is held.
+  bool Put(Time now, Topic topic, std::uint64_t version, std::string body);
+  const Document* document(Topic topic) const { return documents_.Find(topic); }
+  void SetGate(Documents::Gate gate) { documents_.SetGate(std::move(gate)); }
   // Says goodbye. From here on this member is silent.
   void Leave(Time now);
 
@@ -147,7 +164,13 @@
   void Retire(std::uint64_t life);
   void Tell(Happened::Kind kind, const std::string& name, const std::string& by = "", Time silent = {});
 
+  // ---- view_parts.cpp ----
+  void TakeHeads(const wire::Message& message, const std::string& address, Time now);
+  std::string AnswerFetch(const wire::Message& message);
+  void TakeDocument(const wire::Message& message);
+
   // ---- view_sync.cpp ----
+  void Exchange(const std::string& address, const wire::Message& message);
   void Sync(const std::string& address, Time now);
   std::string AnswerSync(const wire::Message& message, Time now);
 
@@ -168,6 +191,7 @@
   int me_;
   std::uint64_t life_;
   News news_;
+  Documents documents_;
   Prober prober_;
   Suspicions suspicions_;
   std::vector<Relay> relays_;
@@ -181,7 +205,7 @@
   Time allowed_at_;
   Time away_{};  // for which this process stood still, all told
   Time next_probe_, next_gossip_, next_retry_, next_seed_, next_sweep_, next_sync_, next_refusal_,
-      next_judgement_, changed_, last_agreed_;
+      next_judgement_, next_fetch_, changed_, last_agreed_;
   Time alone_at_;            // without an answer of any seed by then, this member is the first
   Time entered_, expected_;  // in the host's time: the last call, and the wake that is due next
   Time rival_until_{};       // 0: no other process is said to have this name
--- a/src/view/view_messages.cpp
+++ b/src/view/view_messages.cpp
@@ -30,6 +30,7 @@
   message.set_incarnation(self().incarnation());
   message.set_sequence(++sequence_);
   message.set_view_hash(members_.hash());
+  documents_.Name(&message);
   return message;
 }
 
@@ -178,6 +179,8 @@
   if (to_me && at != Members::kNone && members_[at].record->life() == message.life())
     TakeClaims(message, /*whole=*/false, now);
   const std::string& address = at == Members::kNone ? from : members_[at].record->address();
+  const bool of_member = to_me && at != Members::kNone && members_[at].record->life() == message.life();
+  if (of_member) TakeHeads(message, address, now);
   switch (message.kind()) {
     case wire::KIND_PING: {
       wire::Message ack = Begin(wire::KIND_ACK);
@@ -191,6 +194,10 @@
     case wire::KIND_PING_FOR:
       if (to_me) OnPingFor(message, address, now);
       break;
+    case wire::KIND_MAIL:
+      if (of_member && message.body().size() <= options_.most_letter)
+        output_.letters.push_back({message.from(), message.topic(), message.body()});
+      break;
     default:
       break;
   }
--- a/src/view/view_parts.cpp
+++ b/src/view/view_parts.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// What the parts that live on the view say through it: letters from one member to another, and documents and marks
-// that all are to hold in their latest version.
+// What the parts that live on the view say through it: letters from one member to another, and documents and
+// marks that all are to hold in their latest version.
 #include <utility>
 
 #include "view/view.h"
--- a/src/view/view_sync.cpp
+++ b/src/view/view_sync.cpp
@@ -15,6 +15,10 @@
   wire::Message message = Begin(wire::KIND_SYNC);
   for (const std::uint64_t bucket : members_.buckets()) message.add_buckets(bucket);
   *message.add_claims() = ClaimOf(me_, now);
+  Exchange(address, message);
+}
+
+void View::Exchange(const std::string& address, const wire::Message& message) {
   ++counters_.exchanges;
   output_.exchanges.push_back({address, seal_.Close(message)});
   counters_.exchanged_bytes += output_.exchanges.back().bytes.size();
@@ -31,6 +35,7 @@
     if (message.to_life() == life_) TakeClaims(message, /*whole=*/true, now);
     return "";
   }
+  if (message.kind() == wire::KIND_FETCH) return AnswerFetch(message);
   if (message.kind() != wire::KIND_SYNC) return "";
   std::string answer = AnswerSync(message, now);
   // Whoever asks tells of itself alone, which it may do without having known this life.
@@ -65,6 +70,7 @@
   counters_.exchanged_bytes += frame.size();
   wire::Message message;
   if (Open(frame, &message) != peers::Refusal::kNone) return;
+  if (message.kind() == wire::KIND_DOCUMENT && Admit(message, "", now)) return TakeDocument(message);
   if (message.kind() != wire::KIND_SYNC_REPLY || message.to_life() != life_ || !Admit(message, "", now))
     return;
   // What the other lacks of the buckets that differ, before its claims are taken.
@@ -94,9 +100,9 @@
   if (silent_) return;
   established_ = true;
   const int from = members_.Find(message.from());
-  if (push.claims_size() == 0 || from == Members::kNone) return;
-  output_.exchanges.push_back({members_[from].record->address(), seal_.Close(push)});
-  counters_.exchanged_bytes += output_.exchanges.back().bytes.size();
+  if (from == Members::kNone) return;
+  TakeHeads(message, members_[from].record->address(), now);
+  if (push.claims_size() > 0) Exchange(members_[from].record->address(), push);
 }
 
 }  // namespace copperpoint::view
