--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -26,6 +26,7 @@
 void AddFleet(CLI::App& app, int* exit_code);
 void AddDemo(CLI::App& app, int* exit_code);
 void AddRig(CLI::App& app, int* exit_code);
+void AddKeep(CLI::App& app, int* exit_code);
 void AddRollout(CLI::App& app, int* exit_code);
 void AddVersion(CLI::App& app);
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -41,6 +41,7 @@
     copperpoint::cli::AddLab(app, &exit_code);
     copperpoint::cli::AddFleet(app, &exit_code);
     copperpoint::cli::AddRig(app, &exit_code);
+    copperpoint::cli::AddKeep(app, &exit_code);
     copperpoint::cli::AddRollout(app, &exit_code);
     copperpoint::cli::AddDemo(app, &exit_code);
     copperpoint::cli::AddVersion(app);
--- a/src/cli/rig.cpp
+++ b/src/cli/rig.cpp
@@ -27,7 +27,7 @@
   std::uint64_t seed = 1;
   int seeds = 1, members = 0, backends = 0, threads = 0;
   bool in_virtual_time = false, alone = false, settled = false;
-  std::string logs, other;
+  std::string logs, other, other_settings;
   std::vector<std::string> without;
 };
 
@@ -127,6 +127,7 @@
   run.program = std::filesystem::read_symlink("/proc/self/exe").string();
   run.logs = options.logs;
   run.other = options.other;
+  run.other_settings = options.other_settings;
   run.seed = options.seed;
   run.sharing = !options.alone;
   const rig::ProcessOutcome result = rig::PlayProcesses(plan, run);
@@ -194,6 +195,9 @@
   run->add_flag("--alone", options->alone, "Processes that know nothing of each other, for comparison");
   run->add_option("--other", options->other, "The program that `replace` puts in place of this one")
       ->check(CLI::ExistingFile);
+  run->add_option("--other-settings", options->other_settings,
+                  "Lines that the version v2 has in the operator's file besides v1's")
+      ->check(CLI::ExistingFile);
   run->add_option("--logs", options->logs, "Keep the members' logs in this folder");
   run->add_option("--json", options->json, "Write the result here");
   run->callback([options, exit_code] { *exit_code = RunRig(*options); });
--- a/src/proxy/control/operator.cpp
+++ b/src/proxy/control/operator.cpp
@@ -24,6 +24,7 @@
 using Error = boost::system::error_code;
 
 constexpr std::uint32_t kMostHead = 4 * 1024;
+constexpr std::size_t kMostBody = 32 * 1024;     // of a call to a part
 constexpr std::size_t kMostAfter = 64 * 1024;    // of what is read and dropped behind a call
 constexpr std::chrono::milliseconds kPause{50};  // after a failed accept
 
@@ -168,8 +169,24 @@
     });
   }
 
+  // A call to a part of the fleet may have a body, and is read whole.
+  bool ForPart() const {
+    const auto target = parser_.get().target();
+    return std::string_view(target.data(), target.size()).starts_with("/rollout");
+  }
+
   void OnHead(const Error& failed) {
     if (answered_) return;  // it came too late
+    if (!failed && ForPart()) {
+      whole_.emplace(std::move(parser_));
+      whole_->body_limit(kMostBody);
+      http::async_read(socket_, buffer_, *whole_, [self = shared_from_this()](const Error& broken, std::size_t) {
+        if (self->closed_ || self->answered_) return;
+        if (broken) return self->Say({http::status::payload_too_large, "the body is too large, or broken"});
+        self->OnPart();
+      });
+      return;
+    }
     if (!failed) return Say(Carry(parser_.get(), owner_->calls_));
     if (failed == http::error::header_limit || failed == http::error::buffer_overflow)
       return Say({http::status::request_header_fields_too_large, "head too large"});
@@ -179,6 +196,16 @@
     Say({http::status::bad_request, "malformed"});
   }
 
+  void OnPart() {
+    const auto& request = whole_->get();
+    const bool post = request.method() == http::verb::post;
+    if (!post && request.method() != http::verb::get)
+      return Say({http::status::method_not_allowed, "use GET or POST"});
+    const auto said = owner_->calls_.Part(std::string(request.target()), post, request.body());
+    if (!said) return Say({http::status::not_found, "no such call"});
+    Say({said->done ? http::status::ok : http::status::conflict, said->text});
+  }
+
   void Say(const Answer& answer) {
     answered_ = true;
     response_ = {answer.status, 11};
@@ -212,6 +239,7 @@
   asio::steady_timer timer_;
   boost::beast::flat_buffer buffer_{2 * kMostHead};
   http::request_parser<http::empty_body> parser_;
+  std::optional<http::request_parser<http::string_body>> whole_;
   http::response<http::string_body> response_;
   std::array<char, 512> dropped_;
   std::size_t dropped_bytes_ = 0;
--- a/src/proxy/control/operator.h
+++ b/src/proxy/control/operator.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace copperpoint::proxy {
@@ -26,6 +27,14 @@
   virtual Verdict Enable(const std::string& backend) = 0;
   virtual Verdict Drain() = 0;
   virtual Verdict Undrain() = 0;
+  // Calls of the parts that proxies of a fleet share, by path. Nothing: there is no such call.
+  struct Said {
+    bool done = true;
+    std::string text;
+  };
+  virtual std::optional<Said> Part(const std::string& /*path*/, bool /*post*/, const std::string& /*body*/) {
+    return std::nullopt;
+  }
   virtual std::string Fleet() const { return ""; }  // as JSON; empty: this proxy talks to no other
 };
 
--- /dev/null
+++ b/src/proxy/fleet/counts.cpp
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "proxy/fleet/counts.h"
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <fstream>
+#include <vector>
+
+#include "rollout/compare.h"
+
+namespace copperpoint::proxy {
+namespace {
+
+constexpr std::size_t kMostBytes = 820;    // of a report's strata: a letter of the view holds 900
+constexpr std::size_t kMostStrata = 4096;  // that are counted at all
+
+std::uint64_t ProcessorUs() {
+  rusage usage{};
+  ::getrusage(RUSAGE_SELF, &usage);
+  const auto micros = [](const timeval& time) {
+    return static_cast<std::uint64_t>(time.tv_sec) * 1'000'000 + static_cast<std::uint64_t>(time.tv_usec);
+  };
+  return micros(usage.ru_utime) + micros(usage.ru_stime);
+}
+
+std::uint32_t MemoryKb() {
+  std::uint64_t all = 0, resident = 0;
+  std::ifstream("/proc/self/statm") >> all >> resident;
+  return static_cast<std::uint32_t>(resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE)) / 1024);
+}
+
+void Count(rollout::wire::Stratum& stratum, Counts::How how, bool in_time, int attempts) {
+  const bool served = how == Counts::How::kServed;
+  stratum.set_asked(stratum.asked() + 1);
+  stratum.set_missed(stratum.missed() + !(served && in_time));
+  stratum.set_refused(stratum.refused() + (how == Counts::How::kRefused));
+  stratum.set_failed(stratum.failed() + (how == Counts::How::kFailed));
+  stratum.set_attempts(stratum.attempts() + static_cast<std::uint64_t>(std::max(0, attempts)));
+}
+
+}  // namespace
+
+void Counts::Ended(int request_class, std::uint32_t account, How how, bool in_time, int attempts,
+                   double after_ms) {
+  ++asked_;
+  const auto cls = static_cast<std::uint32_t>(std::max(0, request_class));
+  const auto of = [&](std::uint32_t number) -> rollout::wire::Stratum* {
+    const auto found = strata_.find({number, cls});
+    if (found != strata_.end()) return &found->second;
+    if (strata_.size() >= kMostStrata) return nullptr;
+    auto& fresh = strata_[{number, cls}];
+    fresh.set_request_class(cls);
+    fresh.set_account(number);
+    return &fresh;
+  };
+  if (rollout::wire::Stratum* stratum = of(0)) {
+    Count(*stratum, how, in_time, attempts);
+    if (how == How::kServed) {
+      while (stratum->times_size() < static_cast<int>(rollout::kTimeBuckets)) stratum->add_times(0);
+      const int bucket = static_cast<int>(rollout::TimeBucket(after_ms));
+      stratum->set_times(bucket, stratum->times(bucket) + 1);
+    }
+  }
+  if (account == 0) return;
+  if (rollout::wire::Stratum* stratum = of(account)) Count(*stratum, how, in_time, attempts);
+}
+
+rollout::wire::Report Counts::Report() const {
+  rollout::wire::Report report;
+  report.set_cpu_us(ProcessorUs());
+  report.set_memory_kb(MemoryKb());
+  std::vector<const rollout::wire::Stratum*> ordered;
+  for (const auto& [key, stratum] : strata_) ordered.push_back(&stratum);
+  std::stable_sort(ordered.begin(), ordered.end(), [](const auto* a, const auto* b) {
+    if ((a->account() == 0) != (b->account() == 0)) return a->account() == 0;
+    return a->asked() > b->asked();
+  });
+  std::size_t bytes = 0;
+  for (const rollout::wire::Stratum* stratum : ordered) {
+    const std::size_t more = stratum->ByteSizeLong() + 3;
+    if (bytes + more > kMostBytes) break;
+    bytes += more;
+    *report.add_strata() = *stratum;
+  }
+  return report;
+}
+
+}  // namespace copperpoint::proxy
--- a/src/proxy/fleet/host.cpp
+++ b/src/proxy/fleet/host.cpp
@@ -61,6 +61,17 @@
   return record;
 }
 
+rollout::Agent::Self AgentOf(const view::View& view, const KeeperLink* keeper) {
+  rollout::Agent::Self self{view.self().name(), "", view.self().life(), 0, "", ""};
+  if (!keeper) return self;
+  const KeeperLink::Known& known = keeper->known();
+  self.version = known.version;
+  self.mark = known.mark;
+  self.failed_version = known.failed_version;
+  self.failure = known.failure;
+  return self;
+}
+
 boost::asio::ip::udp::endpoint Listen(const FleetSettings& settings) {
   boost::asio::ip::udp::endpoint listen;
   if (!peers::ParseAddress(settings.listen, &listen) || listen.port() == 0)
@@ -79,7 +90,24 @@
       view_(view::Options(), SealOf(settings), RecordOf(settings, self), seed, FleetNow()),
       subsets_(settings.subsets),
       on_position_(std::move(on_position)),
+      keeper_(KeeperLink::FromEnvironment(io, [this](const std::string& version, const std::string& why) {
+        agent_.OnFailed(version, why);
+        Flush();
+      })),
+      agent_(AgentOf(view_, keeper_.get()),
+             [this](const std::string& name) {
+               const int at = view_.members().Find(name);
+               return at != view::Members::kNone && view_.members()[at].living();
+             },
+             [this] {
+               rollout::wire::Report report = counts_.Report();
+               report.set_ready(ready_ && !left_);
+               if (keeper_) report.set_crashes(keeper_->known().ends);
+               return report;
+             }),
+      began_(FleetNow()),
       timer_(io) {
+  view_.SetGate([this](view::Topic topic, std::uint64_t version) { return agent_.Admits(topic, version); });
   Open();
 } catch (const std::invalid_argument& error) {
   throw BadConfig(std::string("fleet: ") + error.what());
@@ -117,12 +145,100 @@
   Flush();
 }
 
+// What the view has for the parts that live on it, and what they have for the view.
+void FleetHost::LookAtParts() {
+  if (std::exchange(carrying_, true)) return;
+  for (;;) {
+    view::Output output = view_.Take();
+    CarryOut(agent_.Take());
+    for (const view::Letter& letter : output.letters)
+      if (letter.topic == rollout::kLetterTopic) agent_.OnLetter(FleetNow(), letter.from, letter.body);
+    for (const view::Topic topic : output.documents) {
+      const view::Document* document = view_.document(topic);
+      if (document) agent_.OnDocument(FleetNow(), topic, document->version, document->body);
+    }
+    Send(output);
+    const bool more = !output.letters.empty() || !output.documents.empty();
+    CarryOut(agent_.Take());
+    if (!more) break;
+  }
+  Send(view_.Take());
+  carrying_ = false;
+}
+
+void FleetHost::CarryOut(rollout::Agent::Output output) {
+  const view::Time now = FleetNow();
+  for (const auto& document : output.documents) view_.Put(now, document.topic, document.version, document.body);
+  for (auto& letter : output.letters) view_.Mail(now, letter.to, rollout::kLetterTopic, std::move(letter.body));
+  for (const rollout::Event& event : output.events)
+    log::Global().Info("rollout_" + event.name,
+                       {{"change", event.change}, {"why", event.why}, {"may_have_changed", event.prefix}});
+  if (keeper_ && output.mark != 0) keeper_->Say("mark " + log::Hex(output.mark));
+  if (keeper_ && output.run) keeper_->Say("run " + *output.run);
+}
+
+void FleetHost::Ready() {
+  if (std::exchange(ready_, true)) return;
+  if (keeper_) keeper_->Say("ready");
+}
+
+std::vector<rollout::Named> FleetHost::Living() const {
+  std::vector<rollout::Named> members;
+  for (const int at : view_.members().living()) {
+    const view::Record& record = *view_.members()[at].record;
+    members.push_back({record.name(), record.zone()});
+  }
+  return members;
+}
+
+std::optional<FleetHost::Said> FleetHost::Rollout(const std::string& what, bool post, const std::string& body) {
+  const view::Time now = FleetNow();
+  if (!post) {
+    if (what == "/history") return Said{true, agent_.History(now)};
+    if (!what.empty()) return std::nullopt;
+    auto json = nlohmann::ordered_json::parse(agent_.Status(now));
+    const double lived = std::chrono::duration<double>(now - began_).count();
+    json["rate_per_s"] = static_cast<double>(counts_.asked()) / std::max(1.0, lived);
+    return Said{true, json.dump()};
+  }
+  std::string why;
+  if (what == "/start") {
+    try {
+      why = agent_.Start(now, rollout::ReadPlan(body, "plan"), Living());
+    } catch (const config::BadFile& error) {
+      why = error.what();
+    }
+  } else if (what == "/abort") {
+    why = agent_.Abort(now);
+  } else if (what == "/pause" || what == "/resume") {
+    why = agent_.Pause(now, what == "/pause");
+  } else {
+    return std::nullopt;
+  }
+  Flush();
+  return Said{why.empty(), why.empty() ? "done" : why};
+}
+
 void FleetHost::Flush() {
-  view::Output output = view_.Take();
+  LookAtParts();
+  if (keeper_ && !heard_ && view_.established() && view_.members().living().size() > 1) {
+    heard_ = true;
+    keeper_->Say("heard");
+  }
+  if (subsets_) {
+    if (const std::optional<double> turn = positions_.Look(view_, FleetNow())) {
+      log::Global().Info("fleet_position", {{"turn", *turn}});
+      turn_ = turn;
+      on_position_(*turn);
+    }
+  }
+  Arm();
+}
+
+void FleetHost::Send(const view::Output& output) {
   if (transport_) {
     for (const view::Outgoing& datagram : output.datagrams) transport_->Send(datagram.to, datagram.bytes);
-    for (view::Outgoing& exchange : output.exchanges)
-      transport_->Exchange(exchange.to, std::move(exchange.bytes));
+    for (const view::Outgoing& exchange : output.exchanges) transport_->Exchange(exchange.to, exchange.bytes);
   }
   for (const view::Happened& event : output.events) {
     const std::string name = std::string("fleet_") + view::NameOf(event.kind);
@@ -132,22 +248,15 @@
                          {"by", event.by},
                          {"silent_ms", static_cast<double>(event.silent.count()) / 1000}});
   }
-  if (subsets_) {
-    if (const std::optional<double> turn = positions_.Look(view_, FleetNow())) {
-      log::Global().Info("fleet_position", {{"turn", *turn}});
-      turn_ = turn;
-      on_position_(*turn);
-    }
-  }
-  Arm();
 }
 
 void FleetHost::Arm() {
   if (!transport_ || view_.silent()) return;
-  timer_.expires_at(ToSteady(std::min(view_.next(), positions_.next())));
+  timer_.expires_at(ToSteady(std::min({view_.next(), positions_.next(), agent_.next()})));
   timer_.async_wait([this](const boost::system::error_code& cancelled) {
     if (cancelled) return;
     view_.OnTick(FleetNow());
+    if (agent_.next() <= FleetNow()) agent_.OnTick(FleetNow());
     Flush();
   });
 }
--- a/src/proxy/fleet/host.h
+++ b/src/proxy/fleet/host.h
@@ -15,7 +15,10 @@
 #include <vector>
 
 #include "peers/transport.h"
+#include "proxy/fleet/counts.h"
+#include "proxy/fleet/keeper_link.h"
 #include "proxy/fleet/settings.h"
+#include "rollout/agent.h"
 #include "subsets/position.h"
 #include "view/view.h"
 
@@ -41,9 +44,24 @@
   void SetState(view::State state);
   void Leave();  // says goodbye, and gives its address free
   std::string Json() const;
+  // A request's end, for the cohorts of a change.
+  Counts& counts() { return counts_; }
+  // This process serves; its keeper is told once.
+  void Ready();
+
+  // What an operator says of changes: the path behind /rollout, and whether it was a POST. Empty: no such call.
+  struct Said {
+    bool done = true;
+    std::string text;
+  };
+  std::optional<Said> Rollout(const std::string& what, bool post, const std::string& body);
 
  private:
   void Open();
+  void Send(const view::Output& output);
+  void LookAtParts();
+  void CarryOut(rollout::Agent::Output output);
+  std::vector<rollout::Named> Living() const;
   void Flush();
   void Arm();
 
@@ -56,6 +74,11 @@
   subsets::Positions positions_;
   std::optional<double> turn_;  // the last position
   std::function<void(double)> on_position_;
+  Counts counts_;
+  std::unique_ptr<KeeperLink> keeper_;
+  rollout::Agent agent_;
+  view::Time began_{};
+  bool heard_ = false, ready_ = false, carrying_ = false;
   std::unique_ptr<peers::Transport> transport_;
   boost::asio::steady_timer timer_;
   bool told_waiting_ = false, left_ = false;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -151,12 +151,20 @@
   return Verdict::kDone;
 }
 
+std::optional<OperatorCalls::Said> Proxy::Part(const std::string& path, bool post, const std::string& body) {
+  if (!fleet_ || !path.starts_with("/rollout")) return std::nullopt;
+  const auto said = fleet_->Rollout(path.substr(8), post, body);
+  if (!said) return std::nullopt;
+  return Said{said->done, said->text};
+}
+
 void Proxy::TellFleet() {
   if (!fleet_) return;
   switch (lifecycle_.state()) {
     case Lifecycle::State::kStarting:
       return fleet_->SetState(view::State::kStarting);
     case Lifecycle::State::kReady:
+      fleet_->Ready();
       return fleet_->SetState(view::State::kServing);
     case Lifecycle::State::kDrained:
       return fleet_->SetState(view::State::kDraining);
@@ -411,6 +419,7 @@
   Pending& pending = pending_[id];
   pending.arrived = Steady::now();
   pending.request_class = request.request_class;
+  pending.tenant = request.tenant;
   pending.work_ms = request.work_ms;
   if (log::Global().Enabled(log::Level::kDebug)) {
     log::Global().Debug("request_taken", {{"request", id},
@@ -519,6 +528,14 @@
                                         {"attempts", of.attempts},
                                         {"after_ms", Duration(Steady::now() - of.arrived).count()},
                                         {"allowed_ms", Duration(of.due - of.arrived).count()}});
+  if (fleet_ && *how != 'c') {  // a client that has gone is no answer of ours
+    const auto now = Steady::now();
+    const Counts::How end = *how == 's' || std::string_view(how) == "rejected" ? Counts::How::kServed
+                            : std::string_view(how) == "refused"               ? Counts::How::kRefused
+                                                                               : Counts::How::kFailed;
+    fleet_->counts().Ended(of.request_class, static_cast<std::uint32_t>(of.tenant + 1), end, now <= of.due, of.attempts,
+                           Duration(now - of.arrived).count());
+  }
   of.upload.reset();
   return std::exchange(of.responder, nullptr);
 }
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -56,6 +56,7 @@
   Verdict Drain() override;
   Verdict Undrain() override;
   std::string Fleet() const override { return fleet_ ? fleet_->Json() : ""; }
+  std::optional<Said> Part(const std::string& path, bool post, const std::string& body) override;
 
   boost::asio::ip::tcp::endpoint address() const { return clients_->address(); }
   boost::asio::ip::tcp::endpoint operator_address() const { return operator_->address(); }
@@ -71,7 +72,7 @@
     std::shared_ptr<const HttpRequest> message;
     std::shared_ptr<Upload> upload;  // null if the message is whole
     Steady::time_point arrived{}, due{};
-    int request_class = -1;
+    int request_class = -1, tenant = -1;
     double work_ms = 0;                    // hinted
     std::shared_ptr<Responder> responder;  // null once answered
     int attempts = 0;
--- a/src/rig/judge.cpp
+++ b/src/rig/judge.cpp
@@ -161,7 +161,8 @@
   auto& results = verdict.json["properties"] = nlohmann::ordered_json::array();
   for (const Property& property : plan_.properties) {
     const bool of_service =
-        property.kind == PropertyKind::kServedAtLeast || property.kind == PropertyKind::kTrafficShare;
+        property.kind == PropertyKind::kServedAtLeast || property.kind == PropertyKind::kTrafficShare ||
+        property.kind == PropertyKind::kRunsAtEnd || property.kind == PropertyKind::kEverRan;
     if (of_service && !with_service) continue;
     nlohmann::ordered_json result{{"kind", NameOf(property.kind)}, {"bound", property.bound}};
     bool holds = true;
@@ -215,6 +216,26 @@
         result["refused"] = refusals_;
         if (!holds) story.push_back(fmt::format("{} datagrams were refused", refusals_));
         break;
+      case PropertyKind::kRunsAtEnd: {
+        const auto others = std::count_if(versions_.begin(), versions_.end(), [&](const std::string& one) {
+          return !one.empty() && one != property.version;
+        });
+        holds = !versions_.empty() && others == 0;
+        result["others"] = others;
+        for (std::size_t i = 0; !holds && i < versions_.size(); ++i)
+          if (!versions_[i].empty() && versions_[i] != property.version)
+            story.push_back(MemberName(static_cast<int>(i)) + " runs " + versions_[i] + " at the end");
+        break;
+      }
+      case PropertyKind::kEverRan: {
+        const auto ran = std::count_if(ever_.begin(), ever_.end(), [&](const std::set<std::string>& one) {
+          return one.contains(property.version);
+        });
+        holds = static_cast<double>(ran) <= property.bound;
+        result["ran"] = ran;
+        if (!holds) story.push_back(fmt::format("{} members began {}", ran, property.version));
+        break;
+      }
       case PropertyKind::kTrafficShare: {
         std::uint64_t all = 0, theirs = 0;
         for (const std::uint64_t runs : runs_) all += runs;
--- a/src/rig/judge.h
+++ b/src/rig/judge.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -38,6 +39,11 @@
   void Refusals(std::uint64_t datagrams) { refusals_ += datagrams; }
   void Served(std::uint64_t served, std::uint64_t asked);
   void Runs(std::vector<std::uint64_t> by_backend) { runs_ = std::move(by_backend); }  // traffic_share
+  // Of each member at the end, empty if it is down; and which each ever began.
+  void Versions(std::vector<std::string> at_end, std::vector<std::set<std::string>> ever) {
+    versions_ = std::move(at_end);
+    ever_ = std::move(ever);
+  }
   void Holders(std::vector<int> by_backend) { holders_ = std::move(by_backend); }
   void Broke(const std::string& rule) { broken_.push_back(rule); }  // one of the rules of service
 
@@ -85,6 +91,8 @@
   std::vector<int> holders_;         // proxies, by backend
   std::vector<std::uint64_t> runs_;  // in the time of traffic_share, by backend
   double last_fault_over_;
+  std::vector<std::string> versions_;
+  std::vector<std::set<std::string>> ever_;
   std::vector<std::string> broken_, unmet_;
   struct Cut {
     double from = 0, to = 0;
--- a/src/rig/plan.cpp
+++ b/src/rig/plan.cpp
@@ -29,6 +29,8 @@
                                                              {"replace", FaultKind::kReplace},
                                                              {"start", FaultKind::kStart},
                                                              {"slow_start", FaultKind::kSlowStart},
+                                                             {"change", FaultKind::kChange},
+                                                             {"abort", FaultKind::kAbort},
                                                              {"jump", FaultKind::kJump},
                                                              {"freeze", FaultKind::kFreeze},
                                                              {"fail", FaultKind::kFail},
@@ -41,7 +43,8 @@
     {"settles_within", PropertyKind::kSettlesWithin},  {"known_within", PropertyKind::kKnownWithin},
     {"never_removed", PropertyKind::kNeverRemoved},    {"bytes_at_most", PropertyKind::kBytesAtMost},
     {"served_at_least", PropertyKind::kServedAtLeast}, {"refused_some", PropertyKind::kRefusedSome},
-    {"holders_even", PropertyKind::kHoldersEven},      {"traffic_share", PropertyKind::kTrafficShare}};
+    {"holders_even", PropertyKind::kHoldersEven},      {"traffic_share", PropertyKind::kTrafficShare},
+    {"runs_at_end", PropertyKind::kRunsAtEnd},         {"ever_ran", PropertyKind::kEverRan}};
 
 template <typename Kind>
 std::string Word(const std::vector<std::pair<std::string, Kind>>& names, Kind kind) {
@@ -116,6 +119,7 @@
   v.Number("least_ms", least_ms,
            {.text = "starve: the shortest stop", .unit = "ms", .least = 1, .most = 1e5});
   v.Number("most_ms", most_ms, {.text = "starve: the longest", .unit = "ms", .least = 1, .most = 1e5});
+  v.Word("file", file, {}, {.text = "change: a plan (docs/rollout.md), beside this file"});
   v.Check("most_ms", most_ms >= least_ms, "is less than least_ms");
 }
 
@@ -126,6 +130,7 @@
   v.Number("after_s", after_s, {.text = "from when on; -1: as the kind says", .unit = "s", .least = -1});
   v.Number("until_s", until_s, {.text = "traffic_share: until when; -1: the end", .unit = "s", .least = -1});
   v.Words("who", who, {.text = "traffic_share: backends"});
+  v.Word("version", version, {}, {.text = "runs_at_end, ever_ran"});
 }
 
 void Network::Describe(config::Visitor& v) {
@@ -156,6 +161,7 @@
   v.Whole32("seeds", seeds, {.text = "members that all others ask first", .least = 1, .most = 100});
   v.Number("length_s", length_s, {.text = "", .unit = "s", .least = 0.1, .most = 86400});
   v.Number("start_spread_s", start_spread_s, {.text = "over which they start", .unit = "s", .most = 600});
+  v.Flag("keep", keep, {.text = "each process under a keeper, which has v1 (this program) and v2 (`--other`)"});
   v.Section("network", "In virtual time.", network);
   v.Section("service", "With processes: what the proxies serve.", service);
   v.Items("fault", "What befalls whom.", faults);
@@ -180,7 +186,12 @@
   }
 }
 
-Plan ReadPlan(const std::string& file) { return config::Read<Plan>(file); }
+Plan ReadPlan(const std::string& file) {
+  Plan plan = config::Read<Plan>(file);
+  const std::size_t slash = file.rfind('/');
+  plan.folder = slash == std::string::npos ? "." : file.substr(0, slash);
+  return plan;
+}
 
 std::vector<int> Chosen(const Plan& plan, const std::vector<std::string>& words, std::uint64_t seed) {
   std::set<int> chosen;
--- a/src/rig/plan.h
+++ b/src/rig/plan.h
@@ -33,6 +33,8 @@
   kJump,  // its clock jumps ahead by `amount` seconds (processes: of a program built with the clock's seam)
   kReplace,  // it ends in good order, and the other program (`--other`) is started in its place; from 0 s on:
              // it begins with that one
+  kChange,     // a rolling change by the plan `file` begins at the first of `who` (processes under keepers)
+  kAbort,      // an operator aborts it there
   // Of the service (processes alone). `who` are backends, or the proxies whose way to `to` is cut.
   kFreeze,      // backends take requests and say nothing
   kFail,        // `amount` of their requests fail at once
@@ -52,6 +54,7 @@
   bool both = true;                     // links: the way back too
   double amount = 1;
   double least_ms = 200, most_ms = 2000;
+  std::string file;  // change: a plan, beside this file
 
   bool OnLinks() const { return kind <= FaultKind::kCut; }
   bool OnService() const { return kind >= FaultKind::kFreeze; }
@@ -68,6 +71,8 @@
   kRefusedSome,    // datagrams were refused, `bound` at least: the fault has worked
   kHoldersEven,    // at the end, proxies with a connection, by backend: their deviation over their mean is at
                    // most this
+  kRunsAtEnd,      // at the end every member runs the version `version`
+  kEverRan,        // at most this many members ever began `version`
   kTrafficShare,   // of what ran at backends from `after_s` to `until_s`, at most this share ran at `who`
 };
 
@@ -77,6 +82,7 @@
   double after_s = -1;  // below 0: as the kind says
   double until_s = -1;  // traffic_share: below 0: the end
   std::vector<std::string> who{"backends"};
+  std::string version = "v2";  // runs_at_end, ever_ran
 
   void Describe(config::Visitor& v);
 };
@@ -104,6 +110,8 @@
   int members = 12, zones = 3, seeds = 3;  // the first `seeds` members are asked first by all
   double length_s = 10;
   double start_spread_s = 0.5;  // over which members start
+  bool keep = false;  // each process under a keeper, which has v1 (this program) and v2 (`--other`)
+  std::string folder;  // of the file that was read
   Network network;
   Service service;
   std::vector<Fault> faults;
--- a/src/rig/processes/play.cpp
+++ b/src/rig/processes/play.cpp
@@ -24,6 +24,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "config/read.h"
 #include "peers/transport.h"
 #include "rig/conditions.h"
 #include "rig/judge.h"
@@ -98,7 +99,10 @@
     bool ending = false, killed = false;  // the rig has ended this process
     bool other = false;                   // it runs the other program
     Clock::time_point ready{};            // when it said so last, or was continued
-    Tcp::endpoint listen, op;
+    Tcp::endpoint listen, op, op_other;  // two processes of a member may serve side by side
+    std::string version = "v1";          // that serves, by its keeper
+    std::set<std::string> ever;
+    int serve_pid = 0;                   // under a keeper
     Udp::endpoint inside, outside;
     std::string view;  // its answer in the present look
     std::size_t living = 0;
@@ -117,6 +121,8 @@
   }
   void Prepare();
   void WriteFiles(int member);
+  void WriteKeeper(int member);
+  void CallOperator(int member, const std::string& target, const std::string& body);
   void Start(int member);
   void End(int member, bool with_a_word);
   void Stop(int member, bool stop);
@@ -180,7 +186,13 @@
   void Start() {
     stream_.expires_after(kLookAnswer);
     stream_.async_connect(owner_.At(member_).op, [self = shared_from_this()](const Error& failed) {
-      if (failed) return self->Over();
+      if (failed) {
+        if (self->owner_.plan_.keep) {
+          Member& of = self->owner_.At(self->member_);
+          std::swap(of.op, of.op_other);
+        }
+        return self->Over();
+      }
       self->request_ = {http::verb::get, "/fleet", 11};
       self->request_.set(http::field::host, "rig");
       http::async_write(self->stream_, self->request_, [self](const Error& broken, std::size_t) {
@@ -197,8 +209,10 @@
  private:
   void Take() {
     const auto json = nlohmann::json::parse(response_.body(), nullptr, /*allow_exceptions=*/false);
-    if (!json.is_object()) return;
     Member& of = owner_.At(member_);
+    // Of two processes, the one that takes part.
+    if (owner_.plan_.keep && (!json.is_object() || !json.value("speaks", false))) std::swap(of.op, of.op_other);
+    if (!json.is_object()) return;
     of.view = json.value("view", "");
     of.living = 0;
     const auto& counters = json["counters"];
@@ -241,6 +255,7 @@
     const auto address = Address(0, i), door = Address(50, i);
     member.listen = {address, free_port(address)};
     member.op = {address, free_port(address)};
+    member.op_other = {address, free_port(address)};
     member.inside = {address, free_port(address)};
     member.outside = {door, free_port(door)};
     inside.push_back(member.inside);
@@ -278,7 +293,10 @@
       [this](std::uint64_t id) { return backends_->MayHaveRun(id); }, now);
   std::ofstream(folder_.path + "/key") << "a key that only this rig has\n";
   ::chmod((folder_.path + "/key").c_str(), 0600);
-  for (int i = 0; i < plan_.members; ++i) WriteFiles(i);
+  for (int i = 0; i < plan_.members; ++i) {
+    WriteFiles(i);
+    if (plan_.keep) WriteKeeper(i);
+  }
 }
 
 void ProcessFleet::WriteFiles(int number) {
@@ -307,6 +325,52 @@
         peers::TextOf(member.inside), peers::TextOf(member.outside), seeds, folder_.path);
 }
 
+void ProcessFleet::WriteKeeper(int number) {
+  const Member& member = At(number);
+  const std::string base = folder_.path + "/" + MemberName(number);
+  std::ofstream file(base + "/keep.toml");
+  file << fmt::format(
+      "first = \"v1\"\noperators = [\"{}\", \"{}\"]\nready_ms = 6000\nheard_ms = 6000\njson_log = true\n", TextOf(member.op_other),
+      TextOf(member.op));
+  for (const char* version : {"v1", "v2"}) {
+    const bool other = version == std::string("v2");
+    const std::string settings = other && !options_.other_settings.empty() ? base + "/other.toml" : base + "/operator.toml";
+    if (other && !options_.other_settings.empty())
+      std::ofstream(settings) << std::ifstream(base + "/operator.toml").rdbuf()
+                              << std::ifstream(options_.other_settings).rdbuf();
+    file << fmt::format("[[version]]\nname = \"{}\"\nprogram = \"{}\"\nsettings = \"{}\"\n", version,
+                        other && !options_.other.empty() ? options_.other : options_.program, settings);
+  }
+}
+
+// What an operator calls at a member: the process that takes part answers.
+void ProcessFleet::CallOperator(int number, const std::string& target, const std::string& body) {
+  struct Call {
+    explicit Call(asio::io_context& io) : stream(io) {}
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    http::request<http::string_body> request;
+    http::response<http::string_body> response;
+  };
+  const auto call = std::make_shared<Call>(io_);
+  call->request = {http::verb::post, target, 11, body};
+  call->request.set(http::field::host, "rig");
+  call->request.prepare_payload();
+  call->stream.expires_after(kLookAnswer);
+  const auto over = [this, number, target, call](const Error& failed) {
+    if (failed || call->response.result() != http::status::ok)
+      judge_.Broke(fmt::format("POST {} at {}: {} {}", target, MemberName(number), failed.message(), call->response.body()));
+  };
+  call->stream.async_connect(At(number).op, [call, over](const Error& failed) {
+    if (failed) return over(failed);
+    http::async_write(call->stream, call->request, [call, over](const Error& broken, std::size_t) {
+      if (broken) return over(broken);
+      http::async_read(call->stream, call->buffer, call->response,
+                       [over](const Error& error, std::size_t) { over(error); });
+    });
+  });
+}
+
 void ProcessFleet::Start(int number) {
   Member& member = At(number);
   if (over_ || (member.child && member.child->running())) return;
@@ -324,8 +388,9 @@
   judge_.Started(Now(), number);
   directory_->Started(number);
   member.child = std::make_unique<Child>(
-      io_, member.other && !options_.other.empty() ? options_.other : options_.program,
-      std::vector<std::string>{"serve", "--config", base + "/operator.toml"},
+      io_, member.other && !plan_.keep && !options_.other.empty() ? options_.other : options_.program,
+      plan_.keep ? std::vector<std::string>{"keep", base + "/keep.toml"}
+                 : std::vector<std::string>{"serve", "--config", base + "/operator.toml"},
       std::map<std::string, std::string>{{"ROUTER_CONFIG", base + "/config.json"},
                                          {"TMPDIR", base + "/tmp"},
                                          {"COPPERPOINT_CLOCK", base + "/clock"}},
@@ -390,6 +455,11 @@
   if (!json.is_object()) return;
   const std::string event = json.value("event", "");
   if (event == "decision") ejections_ += json.value("text", "").find(" ejected: ") != std::string::npos;
+  if (event == "keep_serves") member.version = json.value("version", "");
+  if (event == "keep_began") {
+    member.serve_pid = static_cast<int>(json.value("pid", 0.0));
+    member.ever.insert(json.value("version", ""));
+  }
   if (event == "state_changed" && json.value("to", "") == "ready") {
     member.up = true;
     member.ready = Clock::now();
@@ -427,7 +497,11 @@
 void ProcessFleet::Stop(int number, bool stop) {
   Member& member = At(number);
   if (!member.child || !member.child->running() || member.stopped == stop) return;
-  member.child->Signal(stop ? SIGSTOP : SIGCONT);
+  if (plan_.keep && member.serve_pid > 0) {
+    ::kill(member.serve_pid, stop ? SIGSTOP : SIGCONT);
+  } else {
+    member.child->Signal(stop ? SIGSTOP : SIGCONT);
+  }
   member.stopped = stop;
   member.ready = Clock::now();
   stop ? judge_.Stopped(Now(), number) : judge_.Continued(Now(), number);
@@ -475,6 +549,15 @@
   }
   for (const int member : members) {
     switch (fault.kind) {
+      case FaultKind::kChange:
+        if (member != members.front()) break;
+        Schedule(fault.at_s, [this, member, &fault] {
+          CallOperator(member, "/rollout/start", config::Contents(plan_.folder + "/" + fault.file));
+        });
+        break;
+      case FaultKind::kAbort:
+        if (member == members.front()) Schedule(fault.at_s, [this, member] { CallOperator(member, "/rollout/abort", ""); });
+        break;
       case FaultKind::kJump:
         Schedule(fault.at_s, [this, member, &fault] { Jump(member, fault.amount); });
         break;
@@ -660,6 +743,13 @@
   if (runs_.empty()) runs_ = runs();
   for (std::size_t b = 0; b < runs_.size(); ++b) runs_[b] -= runs_before_[b];
   judge_.Runs(runs_);
+  std::vector<std::string> versions;
+  std::vector<std::set<std::string>> ever;
+  for (const Member& member : members_) {
+    versions.push_back(member.up ? member.version : "");
+    ever.push_back(member.ever);
+  }
+  judge_.Versions(versions, ever);
   for (const std::string& when : conditions_.unmet()) judge_.Unmet(when);
   for (Member& member : members_) member.child.reset();
   for (const Member& member : members_) {
--- a/src/rig/virtual.cpp
+++ b/src/rig/virtual.cpp
@@ -364,6 +364,9 @@
         At(member).wake = lab::kNeverMicros;
         if (At(member).view && !At(member).stopped) After(member);
         break;
+      case FaultKind::kChange:
+      case FaultKind::kAbort:
+        break;  // rollout try plays them in virtual time
       default:  // starve
         Fault from_now = fault;
         from_now.at_s = Seconds(queue_.now());
