--- a/src/cli/keep.cpp
+++ b/src/cli/keep.cpp
@@ -19,7 +19,8 @@
   };
   auto options = std::make_shared<Options>();
   CLI::App* keep = app.add_subcommand(
-      "keep", "Run one proxy of this machine, begin it again, and replace it by another version (docs/rollout.md)");
+      "keep",
+      "Run one proxy of this machine, begin it again, and replace it by another version (docs/rollout.md)");
   keep->footer("Example: ROUTER_CONFIG=proxy.json copperpoint keep deploy/keep.toml");
   keep->add_option("FILE", options->file, "The keeper's file")->required();
   keep->add_flag("--digests", options->digests, "Print each version's digest, and end");
--- a/src/keep/host.cpp
+++ b/src/keep/host.cpp
@@ -132,7 +132,8 @@
                                             {"COPPERPOINT_FAILED", keeper_.failed_version()},
                                             {"COPPERPOINT_FAILURE", keeper_.failure()}};
     if (!settings_.operators.empty())
-      more["ROUTER_OPERATOR"] = settings_.operators[static_cast<std::size_t>(number) % settings_.operators.size()];
+      more["ROUTER_OPERATOR"] =
+          settings_.operators[static_cast<std::size_t>(number) % settings_.operators.size()];
     std::vector<std::string> variables;
     for (char** one = environ; *one; ++one) {
       const std::string text = *one;
@@ -184,7 +185,8 @@
 
   void OnLine(int number, const std::string& line) {
     const std::size_t space = line.find(' ');
-    const std::string what = line.substr(0, space), rest = space == std::string::npos ? "" : line.substr(space + 1);
+    const std::string what = line.substr(0, space),
+                      rest = space == std::string::npos ? "" : line.substr(space + 1);
     if (what == "ready") keeper_.OnReady(Now(), number);
     if (what == "heard") keeper_.OnHeard(Now(), number);
     if (what == "run") keeper_.OnWish(Now(), number, rest);
--- a/src/keep/keeper.cpp
+++ b/src/keep/keeper.cpp
@@ -31,11 +31,13 @@
   leaving_ = serving_;
   serving_ = std::exchange(next_, 0);
   before_ = std::exchange(version_, next_version_);
-  serves_ = trial_ = true;
+  serves_ = true;
+  // What is gone back to is on no trial: there is nothing else to go back to.
+  trial_ = before_ != failed_version_;
   served_since_ = now;
   ends_ = ends_of_version_ = 0;
   next_due_.reset();
-  if (limits_.heard.count() > 0) heard_due_ = now + limits_.heard;
+  if (trial_ && limits_.heard.count() > 0) heard_due_ = now + limits_.heard;
   output_.events.emplace_back("keep_serves", version_);
 }
 
--- a/src/keep/keeper.h
+++ b/src/keep/keeper.h
@@ -1,8 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// What a keeper does (docs/rollout.md): one `serve` runs, begun again with a longer and longer wait when it ends by
-// itself; another version is brought up beside it and takes over its listener; what does not come up, ends again
-// and again, or never hears its fleet is taken back. No I/O, no clock: what happens in, what to do out.
+// What a keeper does (docs/rollout.md): one `serve` runs, begun again with a longer and longer wait when it
+// ends by itself; another version is brought up beside it and takes over its listener; what does not come up,
+// ends again and again, or never hears its fleet is taken back. No I/O, no clock: what happens in, what to do
+// out.
 #ifndef COPPERPOINT_KEEP_KEEPER_H_
 #define COPPERPOINT_KEEP_KEEPER_H_
 
@@ -18,13 +19,13 @@
 using Time = std::chrono::milliseconds;  // since an origin of the host's own
 
 struct Limits {
-  Time ready{15000};           // for a process to say that it serves
-  Time heard{20000};           // from then on, for a new version to hear its fleet; 0: it need not
-  Time first_wait{200};        // before a process that ended is begun again; doubled each time
+  Time ready{15000};     // for a process to say that it serves
+  Time heard{20000};     // from then on, for a new version to hear its fleet; 0: it need not
+  Time first_wait{200};  // before a process that ended is begun again; doubled each time
   Time longest_wait{10000};
-  Time steady{60000};          // a process that has served so long starts the waits anew
-  int most_ends = 5;           // in a row: then there is no other version to go back to, and it gives up
-  int most_ends_of_new = 2;    // of a version that has not been heard yet
+  Time steady{60000};        // a process that has served so long starts the waits anew
+  int most_ends = 5;         // in a row: then there is no other version to go back to, and it gives up
+  int most_ends_of_new = 2;  // of a version that has not been heard yet
 };
 
 class Keeper {
@@ -49,8 +50,11 @@
   void OnStart(Time now);
   void OnReady(Time now, Process process);  // it serves
   void OnHeard(Time now, Process process);  // it hears its fleet
-  void OnWish(Time now, Process process, const std::string& version);  // that another version run in its place
-  void OnMark(Process process, std::uint64_t mark) { if (process == serving_ || process == next_) mark_ = mark; }
+  void OnWish(Time now, Process process,
+              const std::string& version);  // that another version run in its place
+  void OnMark(Process process, std::uint64_t mark) {
+    if (process == serving_ || process == next_) mark_ = mark;
+  }
   void OnEnded(Time now, Process process, bool in_order);
   void OnTick(Time now);
   void OnStop(Time now);  // the keeper itself was told to end
--- a/src/keep/settings.cpp
+++ b/src/keep/settings.cpp
@@ -14,7 +14,8 @@
   v.Word("name", name, {}, {.text = "as a plan names it"});
   v.Word("program", program, {}, {.text = "its path"});
   v.Word("settings", settings, {}, {.text = "the operator's file that it runs with; empty: none"});
-  v.Word("digest", digest, {}, {.text = "of both, as `copperpoint keep FILE --digests` prints it; empty: not checked"});
+  v.Word("digest", digest, {},
+         {.text = "of both, as `copperpoint keep FILE --digests` prints it; empty: not checked"});
   v.Check("name", !name.empty() && name.find(' ') == std::string::npos, "is empty or has a space");
   v.Check("program", !program.empty(), "is missing");
 }
@@ -23,7 +24,8 @@
   constexpr double kHour = 3600 * 1000;
   v.Word("first", first, {}, {.text = "the version to begin with"});
   v.Words("operators", operators,
-          {.text = "operator's addresses of its processes, in turn; at least two, as two run side by side in a change"});
+          {.text = "operator's addresses of its processes, in turn; at least two, as two run side by side in "
+                   "a change"});
   v.Millis("ready_ms", limits.ready, {.text = "for a process to serve", .least = 100, .most = kHour});
   v.Millis("heard_ms", limits.heard,
            {.text = "from then on, for a new version to hear its fleet; 0: it need not", .most = kHour});
@@ -31,7 +33,8 @@
            {.text = "before one that ended is begun again; doubled each time", .least = 10, .most = kHour});
   v.Millis("longest_wait_ms", limits.longest_wait, {.text = "of these", .least = 10, .most = kHour});
   v.Millis("steady_ms", limits.steady, {.text = "served so long, it starts the waits anew", .most = kHour});
-  v.Whole32("most_ends", limits.most_ends, {.text = "in a row, then the keeper gives up", .least = 1, .most = 1000});
+  v.Whole32("most_ends", limits.most_ends,
+            {.text = "in a row, then the keeper gives up", .least = 1, .most = 1000});
   v.Whole32("most_ends_of_new", limits.most_ends_of_new,
             {.text = "of a version that was not heard yet, then it is taken back", .least = 1, .most = 1000});
   v.Flag("json_log", json_log, {.text = "a JSON object a line, as the proxy's own `log.format`"});
--- a/src/keep/settings.h
+++ b/src/keep/settings.h
@@ -21,8 +21,9 @@
 };
 
 struct Settings {
-  std::string first;                    // the version to begin with
-  std::vector<std::string> operators;   // operator's addresses, in turn: two processes serve side by side for a while
+  std::string first;  // the version to begin with
+  std::vector<std::string>
+      operators;  // operator's addresses, in turn: two processes serve side by side for a while
   Limits limits;
   bool json_log = false;
   std::vector<Version> versions;
--- a/src/proxy/control/operator.cpp
+++ b/src/proxy/control/operator.cpp
@@ -180,11 +180,13 @@
     if (!failed && ForPart()) {
       whole_.emplace(std::move(parser_));
       whole_->body_limit(kMostBody);
-      http::async_read(socket_, buffer_, *whole_, [self = shared_from_this()](const Error& broken, std::size_t) {
-        if (self->closed_ || self->answered_) return;
-        if (broken) return self->Say({http::status::payload_too_large, "the body is too large, or broken"});
-        self->OnPart();
-      });
+      http::async_read(
+          socket_, buffer_, *whole_, [self = shared_from_this()](const Error& broken, std::size_t) {
+            if (self->closed_ || self->answered_) return;
+            if (broken)
+              return self->Say({http::status::payload_too_large, "the body is too large, or broken"});
+            self->OnPart();
+          });
       return;
     }
     if (!failed) return Say(Carry(parser_.get(), owner_->calls_));
--- a/src/proxy/fleet/host.cpp
+++ b/src/proxy/fleet/host.cpp
@@ -3,6 +3,7 @@
 
 #include <sys/stat.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -90,21 +91,23 @@
       view_(view::Options(), SealOf(settings), RecordOf(settings, self), seed, FleetNow()),
       subsets_(settings.subsets),
       on_position_(std::move(on_position)),
-      keeper_(KeeperLink::FromEnvironment(io, [this](const std::string& version, const std::string& why) {
-        agent_.OnFailed(version, why);
-        Flush();
-      })),
-      agent_(AgentOf(view_, keeper_.get()),
-             [this](const std::string& name) {
-               const int at = view_.members().Find(name);
-               return at != view::Members::kNone && view_.members()[at].living();
-             },
-             [this] {
-               rollout::wire::Report report = counts_.Report();
-               report.set_ready(ready_ && !left_);
-               if (keeper_) report.set_crashes(keeper_->known().ends);
-               return report;
-             }),
+      keeper_(KeeperLink::FromEnvironment(io,
+                                          [this](const std::string& version, const std::string& why) {
+                                            agent_.OnFailed(version, why);
+                                            Flush();
+                                          })),
+      agent_(
+          AgentOf(view_, keeper_.get()),
+          [this](const std::string& name) {
+            const int at = view_.members().Find(name);
+            return at != view::Members::kNone && view_.members()[at].living();
+          },
+          [this] {
+            rollout::wire::Report report = counts_.Report();
+            report.set_ready(ready_ && !left_);
+            if (keeper_) report.set_crashes(keeper_->known().ends);
+            return report;
+          }),
       began_(FleetNow()),
       timer_(io) {
   view_.SetGate([this](view::Topic topic, std::uint64_t version) { return agent_.Admits(topic, version); });
@@ -168,8 +171,10 @@
 
 void FleetHost::CarryOut(rollout::Agent::Output output) {
   const view::Time now = FleetNow();
-  for (const auto& document : output.documents) view_.Put(now, document.topic, document.version, document.body);
-  for (auto& letter : output.letters) view_.Mail(now, letter.to, rollout::kLetterTopic, std::move(letter.body));
+  for (const auto& document : output.documents)
+    view_.Put(now, document.topic, document.version, document.body);
+  for (auto& letter : output.letters)
+    view_.Mail(now, letter.to, rollout::kLetterTopic, std::move(letter.body));
   for (const rollout::Event& event : output.events)
     log::Global().Info("rollout_" + event.name,
                        {{"change", event.change}, {"why", event.why}, {"may_have_changed", event.prefix}});
@@ -188,10 +193,13 @@
     const view::Record& record = *view_.members()[at].record;
     members.push_back({record.name(), record.zone()});
   }
+  // The same members make the same change, whoever begins it.
+  std::sort(members.begin(), members.end(), [](const auto& a, const auto& b) { return a.name < b.name; });
   return members;
 }
 
-std::optional<FleetHost::Said> FleetHost::Rollout(const std::string& what, bool post, const std::string& body) {
+std::optional<FleetHost::Said> FleetHost::Rollout(const std::string& what, bool post,
+                                                  const std::string& body) {
   const view::Time now = FleetNow();
   if (!post) {
     if (what == "/history") return Said{true, agent_.History(now)};
--- a/src/proxy/fleet/host.h
+++ b/src/proxy/fleet/host.h
@@ -49,7 +49,8 @@
   // This process serves; its keeper is told once.
   void Ready();
 
-  // What an operator says of changes: the path behind /rollout, and whether it was a POST. Empty: no such call.
+  // What an operator says of changes: the path behind /rollout, and whether it was a POST. Empty: no such
+  // call.
   struct Said {
     bool done = true;
     std::string text;
--- a/src/proxy/fleet/keeper_link.cpp
+++ b/src/proxy/fleet/keeper_link.cpp
@@ -23,7 +23,8 @@
   const std::string descriptor = Variable("COPPERPOINT_KEEPER");
   const int number = std::atoi(descriptor.c_str());
   if (number < 3 || ::fcntl(number, F_GETFD) < 0) return nullptr;
-  Known known{Variable("COPPERPOINT_VERSION"), Variable("COPPERPOINT_FAILED"), Variable("COPPERPOINT_FAILURE"),
+  Known known{Variable("COPPERPOINT_VERSION"), Variable("COPPERPOINT_FAILED"),
+              Variable("COPPERPOINT_FAILURE"),
               std::strtoull(Variable("COPPERPOINT_MARK").c_str(), nullptr, 16),
               static_cast<std::uint32_t>(std::atoi(Variable("COPPERPOINT_ENDS").c_str()))};
   return std::unique_ptr<KeeperLink>(new KeeperLink(io, number, std::move(known), std::move(failed)));
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -489,6 +489,12 @@
                                         {"outcome", WordFor(end.outcome)},
                                         {"took_ms", end.took.count()}});
   if (found != pending_.end()) found->second.attempt_out = false;
+#ifdef COPPERPOINT_HARM
+  // For tests of rolling changes: a build that fails every fourth request.
+  if (result.outcome == Outcome::kOk && ++harmed_ % 4 == 0) {
+    if (const auto responder = Conclude(request, "failed", "harm")) responder->Failed();
+  }
+#endif
   if (result.outcome == Outcome::kOk) {
     if (const auto responder = Conclude(request, "served")) {
       responder->Served(std::move(result.response), std::move(result.rest), result.length);
@@ -533,8 +539,8 @@
     const Counts::How end = *how == 's' || std::string_view(how) == "rejected" ? Counts::How::kServed
                             : std::string_view(how) == "refused"               ? Counts::How::kRefused
                                                                                : Counts::How::kFailed;
-    fleet_->counts().Ended(of.request_class, static_cast<std::uint32_t>(of.tenant + 1), end, now <= of.due, of.attempts,
-                           Duration(now - of.arrived).count());
+    fleet_->counts().Ended(of.request_class, static_cast<std::uint32_t>(of.tenant + 1), end, now <= of.due,
+                           of.attempts, Duration(now - of.arrived).count());
   }
   of.upload.reset();
   return std::exchange(of.responder, nullptr);
--- a/src/rig/plan.cpp
+++ b/src/rig/plan.cpp
@@ -161,7 +161,8 @@
   v.Whole32("seeds", seeds, {.text = "members that all others ask first", .least = 1, .most = 100});
   v.Number("length_s", length_s, {.text = "", .unit = "s", .least = 0.1, .most = 86400});
   v.Number("start_spread_s", start_spread_s, {.text = "over which they start", .unit = "s", .most = 600});
-  v.Flag("keep", keep, {.text = "each process under a keeper, which has v1 (this program) and v2 (`--other`)"});
+  v.Flag("keep", keep,
+         {.text = "each process under a keeper, which has v1 (this program) and v2 (`--other`)"});
   v.Section("network", "In virtual time.", network);
   v.Section("service", "With processes: what the proxies serve.", service);
   v.Items("fault", "What befalls whom.", faults);
--- a/src/rig/plan.h
+++ b/src/rig/plan.h
@@ -33,8 +33,8 @@
   kJump,  // its clock jumps ahead by `amount` seconds (processes: of a program built with the clock's seam)
   kReplace,  // it ends in good order, and the other program (`--other`) is started in its place; from 0 s on:
              // it begins with that one
-  kChange,     // a rolling change by the plan `file` begins at the first of `who` (processes under keepers)
-  kAbort,      // an operator aborts it there
+  kChange,   // a rolling change by the plan `file` begins at the first of `who` (processes under keepers)
+  kAbort,    // an operator aborts it there
   // Of the service (processes alone). `who` are backends, or the proxies whose way to `to` is cut.
   kFreeze,      // backends take requests and say nothing
   kFail,        // `amount` of their requests fail at once
@@ -110,8 +110,8 @@
   int members = 12, zones = 3, seeds = 3;  // the first `seeds` members are asked first by all
   double length_s = 10;
   double start_spread_s = 0.5;  // over which members start
-  bool keep = false;  // each process under a keeper, which has v1 (this program) and v2 (`--other`)
-  std::string folder;  // of the file that was read
+  bool keep = false;            // each process under a keeper, which has v1 (this program) and v2 (`--other`)
+  std::string folder;           // of the file that was read
   Network network;
   Service service;
   std::vector<Fault> faults;
--- a/src/rig/processes/play.cpp
+++ b/src/rig/processes/play.cpp
@@ -99,10 +99,10 @@
     bool ending = false, killed = false;  // the rig has ended this process
     bool other = false;                   // it runs the other program
     Clock::time_point ready{};            // when it said so last, or was continued
-    Tcp::endpoint listen, op, op_other;  // two processes of a member may serve side by side
-    std::string version = "v1";          // that serves, by its keeper
+    Tcp::endpoint listen, op, op_other;   // two processes of a member may serve side by side
+    std::string version = "v1";           // that serves, by its keeper
     std::set<std::string> ever;
-    int serve_pid = 0;                   // under a keeper
+    int serve_pid = 0;  // under a keeper
     Udp::endpoint inside, outside;
     std::string view;  // its answer in the present look
     std::size_t living = 0;
@@ -211,7 +211,8 @@
     const auto json = nlohmann::json::parse(response_.body(), nullptr, /*allow_exceptions=*/false);
     Member& of = owner_.At(member_);
     // Of two processes, the one that takes part.
-    if (owner_.plan_.keep && (!json.is_object() || !json.value("speaks", false))) std::swap(of.op, of.op_other);
+    if (owner_.plan_.keep && (!json.is_object() || !json.value("speaks", false)))
+      std::swap(of.op, of.op_other);
     if (!json.is_object()) return;
     of.view = json.value("view", "");
     of.living = 0;
@@ -330,11 +331,12 @@
   const std::string base = folder_.path + "/" + MemberName(number);
   std::ofstream file(base + "/keep.toml");
   file << fmt::format(
-      "first = \"v1\"\noperators = [\"{}\", \"{}\"]\nready_ms = 6000\nheard_ms = 6000\njson_log = true\n", TextOf(member.op_other),
-      TextOf(member.op));
+      "first = \"v1\"\noperators = [\"{}\", \"{}\"]\nready_ms = 6000\nheard_ms = 6000\njson_log = true\n",
+      TextOf(member.op_other), TextOf(member.op));
   for (const char* version : {"v1", "v2"}) {
     const bool other = version == std::string("v2");
-    const std::string settings = other && !options_.other_settings.empty() ? base + "/other.toml" : base + "/operator.toml";
+    const std::string settings =
+        other && !options_.other_settings.empty() ? base + "/other.toml" : base + "/operator.toml";
     if (other && !options_.other_settings.empty())
       std::ofstream(settings) << std::ifstream(base + "/operator.toml").rdbuf()
                               << std::ifstream(options_.other_settings).rdbuf();
@@ -359,7 +361,8 @@
   call->stream.expires_after(kLookAnswer);
   const auto over = [this, number, target, call](const Error& failed) {
     if (failed || call->response.result() != http::status::ok)
-      judge_.Broke(fmt::format("POST {} at {}: {} {}", target, MemberName(number), failed.message(), call->response.body()));
+      judge_.Broke(fmt::format("POST {} at {}: {} {}", target, MemberName(number), failed.message(),
+                               call->response.body()));
   };
   call->stream.async_connect(At(number).op, [call, over](const Error& failed) {
     if (failed) return over(failed);
@@ -556,7 +559,8 @@
         });
         break;
       case FaultKind::kAbort:
-        if (member == members.front()) Schedule(fault.at_s, [this, member] { CallOperator(member, "/rollout/abort", ""); });
+        if (member == members.front())
+          Schedule(fault.at_s, [this, member] { CallOperator(member, "/rollout/abort", ""); });
         break;
       case FaultKind::kJump:
         Schedule(fault.at_s, [this, member, &fault] { Jump(member, fault.amount); });
--- a/src/rig/processes/play.h
+++ b/src/rig/processes/play.h
@@ -32,10 +32,10 @@
 };
 
 struct ProcessOptions {
-  std::string program;  // whose `serve` is started
-  std::string other;    // that `replace` puts in its place; empty: the same
+  std::string program;         // whose `serve` is started
+  std::string other;           // that `replace` puts in its place; empty: the same
   std::string other_settings;  // lines that v2 has besides v1's; empty: none
-  std::string logs;     // a folder for the members' logs; empty: none are kept
+  std::string logs;            // a folder for the members' logs; empty: none are kept
   std::uint64_t seed = 1;
   bool sharing = true;  // false: the proxies know nothing of each other
   // Called once all members were started, and then once a second. Commands are taken then: kill, start, stop,
