--- /dev/null
+++ b/src/rig/processes/fleet.h
@@ -0,0 +1,182 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The inside of play.h: a run with real processes. What it does stands in files by concern: play.cpp (the
+// run), members.cpp (processes), faults.cpp (what befalls them), watch.cpp (what is asked of them).
+#ifndef COPPERPOINT_RIG_PROCESSES_FLEET_H_
+#define COPPERPOINT_RIG_PROCESSES_FLEET_H_
+
+#include <fmt/format.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <filesystem>
+#include <fstream>
+#include <list>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <stdexcept>
+#include <utility>
+
+#include "config/read.h"
+#include "peers/transport.h"
+#include "rig/conditions.h"
+#include "rig/judge.h"
+#include "rig/links.h"
+#include "rig/processes/child.h"
+#include "rig/processes/control.h"
+#include "rig/processes/directory.h"
+#include "rig/processes/play.h"
+#include "rig/processes/relay.h"
+#include "rig/processes/service.h"
+#include "rig/processes/troubles.h"
+#include "view/options.h"
+
+namespace copperpoint::rig {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+constexpr double kDrainGraceMs = 550;                  // the rule's, and what sockets take
+constexpr std::chrono::milliseconds kLookAnswer{400};  // for one proxy's answer
+constexpr std::chrono::milliseconds kMostLate{300};    // of the rig's own timers
+
+inline std::string TextOf(const Tcp::endpoint& e) { return peers::TextOf({e.address(), e.port()}); }
+
+// A folder that goes with the run.
+class Folder {
+ public:
+  Folder() {
+    std::string pattern = (std::filesystem::temp_directory_path() / "copperpoint-rig-XXXXXX").string();
+    if (!::mkdtemp(pattern.data())) throw std::runtime_error("no folder for the rig");
+    path = pattern;
+  }
+  ~Folder() {
+    std::error_code ignored;
+    std::filesystem::remove_all(path, ignored);
+  }
+  std::string path;
+};
+
+class ProcessFleet {
+ public:
+  ProcessFleet(const Plan& plan, const ProcessOptions& options)
+      : plan_(plan),
+        options_(options),
+        random_(options.seed, "processes"),
+        links_(plan, options.seed),
+        conditions_(plan),
+        troubles_(plan, options.seed),
+        judge_(plan, options.seed, static_cast<double>(view::Options().silence.count()) / 1e6),
+        observer_(kDrainGraceMs),
+        look_(io_),
+        signals_(io_, SIGINT, SIGTERM),
+        members_(static_cast<std::size_t>(plan.members)) {}
+
+  ProcessOutcome Play();
+
+ private:
+  using Error = boost::system::error_code;
+  using Clock = std::chrono::steady_clock;
+  using Udp = asio::ip::udp;
+  struct Member {
+    std::unique_ptr<Child> child;
+    std::uint64_t life = 0;
+    bool up = false, stopped = false;
+    bool ending = false, killed = false;  // the rig has ended this process
+    bool other = false;                   // it runs the other program
+    Clock::time_point ready{};            // when it said so last, or was continued
+    Tcp::endpoint listen, op, op_other;   // two processes of a member may serve side by side
+    std::string version = "v1";           // that serves, by its keeper
+    std::set<std::string> ever;
+    int serve_pid = 0;  // under a keeper
+    Udp::endpoint inside, outside;
+    std::string view;  // its answer in the present look
+    std::size_t living = 0;
+    double out = 0, in = 0, asked_at = 0;    // bytes so far, with headers, and when it said so
+    double refused = 0, refused_before = 0;  // datagrams, of this life and of those before
+    double out_before = 0, in_before = 0, before_at = -1;
+    std::ofstream log;
+  };
+  class Look;
+  friend class Look;
+
+  Member& At(int member) { return members_[static_cast<std::size_t>(member)]; }
+  double Now() const { return std::chrono::duration<double>(Clock::now() - began_).count(); }
+  asio::ip::address Address(int net, int member) const {
+    return asio::ip::make_address(fmt::format("127.{}.{}.{}", block_, net + member / 200, 1 + member % 200));
+  }
+  void Prepare();
+  void WriteFiles(int member);
+  void WriteKeeper(int member);
+  void CallOperator(int member, const std::string& target, const std::string& body);
+  void Start(int member);
+  void End(int member, bool with_a_word);
+  void Stop(int member, bool stop);
+  void Replace(int member, bool other);
+  void StartOnceOver(int member);
+  void OnLine(int member, const std::string& line);
+  void OnEnd(int member, std::uint64_t life, int status);
+  void Schedule(double at_s, std::function<void()> what);
+  void ScheduleFault(const Fault& fault);
+  void Meet(std::string_view event, std::string_view member = {});
+  // Of those that befall no process: on links between members, or on the service.
+  void BeginBetween(const Fault& fault);
+  void EndBetween(const Fault& fault);
+  void SetBackend(int backend, Directory::Phase phase, bool up);
+  void Jump(int member, double seconds);
+  void Watch();
+  std::string Carry(const std::string& what, const std::string& who);
+  void LookAtAll();
+  void OnLooked();
+
+  const Plan& plan_;
+  const ProcessOptions& options_;
+  asio::io_context io_;
+  Folder folder_;
+  lab::Random random_;
+  Links links_;
+  Conditions conditions_;
+  Troubles troubles_;
+  Judge judge_;
+  lab::Observer observer_;
+  asio::steady_timer look_;
+  asio::signal_set signals_;
+  std::vector<Member> members_;
+  std::vector<std::unique_ptr<asio::steady_timer>> timers_;
+  std::unique_ptr<Relay> relay_;
+  std::unique_ptr<StandInBackends> backends_;
+  std::unique_ptr<Directory> directory_;
+  std::unique_ptr<Clients> clients_;
+  std::unique_ptr<Control> control_;
+  std::list<Fault> commanded_;  // that are in force
+  std::list<Fault> begun_;      // that waited for something
+  std::list<std::pair<Fault, std::vector<int>>> slow_starts_;
+  std::set<int> down_;                      // backends
+  std::vector<std::uint64_t> runs_before_;  // traffic_share: from when it counts on
+  std::vector<std::uint64_t> runs_;
+  std::size_t views_ = 0;
+  std::uint64_t ejections_ = 0;
+  Live before_;  // sums up to the last second
+  Clock::time_point began_{};
+  int block_ = 0, looking_ = 0;
+  std::uint64_t looks_ = 0;
+  bool over_ = false, interrupted_ = false;
+  double rest_from_ = 0;
+  Clock::duration latest_{};
+};
+
+}  // namespace copperpoint::rig
+
+#endif  // COPPERPOINT_RIG_PROCESSES_FLEET_H_
--- a/tests/rig/change_test.cpp
+++ b/tests/rig/change_test.cpp
@@ -58,6 +58,11 @@
   EXPECT_EQ(finished.code, 0) << finished.out << finished.err;
 }
 
+TEST(Change, ALeaderThatEndsOrStandsStillIsFollowedByAnother) {
+  const Finished finished = Play("change_leader");
+  EXPECT_EQ(finished.code, 0) << finished.out << finished.err;
+}
+
 TEST(Change, AZoneThatIsCutOffMeanwhileComesBackToOneVersion) {
   const Finished finished = Play("change_split");
   EXPECT_EQ(finished.code, 0) << finished.out << finished.err;
