--- a/src/rig/processes/service.cpp
+++ b/src/rig/processes/service.cpp
@@ -22,10 +22,10 @@
 namespace http = beast::http;
 using Error = boost::system::error_code;
 
-constexpr std::chrono::milliseconds kDeadline{2000};  // of a request
-constexpr std::chrono::milliseconds kLookAgain{10};   // whether a silence is over
+constexpr std::chrono::milliseconds kDeadline{2000};   // of a request
+constexpr std::chrono::milliseconds kLookAgain{10};    // whether a silence is over
 constexpr std::chrono::milliseconds kEndIsKnown{300};  // of a process, after its connections broke
-constexpr std::chrono::milliseconds kSlack{1000};     // before one that has no answer is lost
+constexpr std::chrono::milliseconds kSlack{1000};      // before one that has no answer is lost
 
 void Listen(Tcp::acceptor& acceptor, const Tcp::endpoint& address) {
   acceptor.open(Tcp::v4());
@@ -283,8 +283,8 @@
         stream_, buffer_, response_, [self = shared_from_this()](const Error& failed, std::size_t) {
           Clients& owner = self->owner_;
           if (failed) {
-            // A process that was ended or stood still meanwhile owes nothing. That it ended by itself is known
-            // here a little later than its connections are.
+            // A process that was ended or stood still meanwhile owes nothing. That it ended by itself is
+            // known here a little later than its connections are.
             self->late_.expires_after(kEndIsKnown);
             self->late_.async_wait([self](const Error& cancelled) {
               Clients& asked = self->owner_;
