--- a/src/cli/rig.cpp
+++ b/src/cli/rig.cpp
@@ -1,20 +1,19 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <algorithm>
-#include <atomic>
 #include <filesystem>
 #include <iostream>
 #include <memory>
-#include <mutex>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include "cli/commands.h"
 #include "cli/rig_plot.h"
+#include "lab/run/compare.h"
 #include "rig/plan.h"
 #include "rig/processes/play.h"
+#include "rig/quantile.h"
 #include "rig/virtual.h"
 
 namespace copperpoint::cli {
@@ -62,23 +61,14 @@
 
 int RunVirtual(const RigOptions& options, const rig::Plan& plan) {
   std::vector<rig::Outcome> outcomes(static_cast<std::size_t>(options.seeds));
-  std::atomic<std::size_t> next{0};
-  const auto work = [&] {
-    for (std::size_t i; (i = next++) < outcomes.size();) {
-      rig::VirtualOptions run;
-      run.seed = options.seed + i;
-      run.timeline = options.seeds == 1;
-      run.settled = options.settled;
-      for (const std::string& part : options.without) Switch(part, &run.view);
-      outcomes[i] = rig::PlayVirtual(plan, run);
-    }
-  };
-  const int cores = static_cast<int>(std::max(1u, std::thread::hardware_concurrency()));
-  std::vector<std::thread> threads;
-  for (int i = 1; i < std::min(options.threads > 0 ? options.threads : cores, options.seeds); ++i)
-    threads.emplace_back(work);
-  work();
-  for (std::thread& thread : threads) thread.join();
+  lab::InParallel(outcomes.size(), static_cast<unsigned>(options.threads), [&](std::size_t i) {
+    rig::VirtualOptions run;
+    run.seed = options.seed + i;
+    run.timeline = options.seeds == 1;
+    run.settled = options.settled;
+    for (const std::string& part : options.without) Switch(part, &run.view);
+    outcomes[i] = rig::PlayVirtual(plan, run);
+  });
 
   nlohmann::ordered_json all = nlohmann::ordered_json::array();
   int failed = 0;
@@ -98,13 +88,9 @@
       if (!value.is_number() || name == "bound") continue;
       std::vector<double> values;
       for (const auto& json : all) values.push_back(json["properties"][p][name].get<double>());
-      std::sort(values.begin(), values.end());
-      const auto at = [&](double share) {
-        return values[std::min(values.size() - 1,
-                               static_cast<std::size_t>(share * static_cast<double>(values.size())))];
-      };
-      std::cout << "  " << name << ' ' << at(0.5);
-      if (values.size() > 1) std::cout << " (p99 " << at(0.99) << ", most " << values.back() << ')';
+      std::cout << "  " << name << ' ' << rig::Quantile(values, 0.5);
+      if (values.size() > 1)
+        std::cout << " (p99 " << rig::Quantile(values, 0.99) << ", most " << rig::Quantile(values, 1) << ')';
     }
     std::cout << "  bound " << shown["bound"].get<double>() << '\n';
   }
--- a/src/cli/rig_plot.cpp
+++ b/src/cli/rig_plot.cpp
@@ -3,7 +3,6 @@
 // `copperpoint rig plot`: results of `rig run --json` side by side.
 #include "cli/rig_plot.h"
 
-#include <algorithm>
 #include <iostream>
 #include <map>
 #include <memory>
@@ -14,6 +13,7 @@
 #include "cli/commands.h"
 #include "config/read.h"
 #include "lab/report/plot.h"
+#include "rig/quantile.h"
 
 namespace copperpoint::cli {
 namespace {
@@ -25,11 +25,6 @@
   std::string out;
 };
 
-double Median(std::vector<double> of) {
-  std::sort(of.begin(), of.end());
-  return of.empty() ? 0 : of[of.size() / 2];
-}
-
 // How an end became known: the share of the others that had learnt of it, by then.
 lab::Curve SpreadOf(const std::string& label, const Json& run) {
   lab::Curve curve{label, {{0, 0}}};
@@ -74,7 +69,7 @@
       chart.file = figure;
       chart.title = figure + (runs.size() > 1 ? ", median of the seeds" : "");
       chart.y = figure;
-      chart.bars.emplace_back(label, Median(values));
+      chart.bars.emplace_back(label, rig::Quantile(values, 0.5));
     };
     for (std::size_t p = 0; p < runs[0]["properties"].size(); ++p) {
       for (const auto& [name, value] : runs[0]["properties"][p].items()) {
--- a/src/cli/rollout.cpp
+++ b/src/cli/rollout.cpp
@@ -6,20 +6,20 @@
 #include <CLI/Config.hpp>
 #include <CLI/Formatter.hpp>
 #include <algorithm>
-#include <atomic>
 #include <iostream>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include "cli/ask.h"
 #include "cli/commands.h"
 #include "cli/rollout_report.h"
 #include "config/read.h"
+#include "lab/run/compare.h"
+#include "rig/quantile.h"
 #include "rig/trial.h"
 #include "rollout/plan.h"
 
@@ -111,22 +111,12 @@
 int Try(const Options& options) {
   const std::string text = config::Contents(options.file);
   std::vector<rig::TrialResult> results(static_cast<std::size_t>(options.seeds));
-  std::atomic<std::size_t> next{0};
-  const auto work = [&] {
-    for (std::size_t i; (i = next++) < results.size();) {
-      rig::TrialOptions trial = options.trial;
-      trial.tell = options.seeds == 1;
-      trial.seed += i;
-      results[i] = rig::TryChange(text, options.file, trial);
-    }
-  };
-  rollout::ReadPlan(text, options.file);  // its faults, before any thread
-  const int cores = static_cast<int>(std::max(1u, std::thread::hardware_concurrency()));
-  std::vector<std::thread> threads;
-  for (int i = 1; i < std::min(options.threads > 0 ? options.threads : cores, options.seeds); ++i)
-    threads.emplace_back(work);
-  work();
-  for (std::thread& thread : threads) thread.join();
+  lab::InParallel(results.size(), static_cast<unsigned>(options.threads), [&](std::size_t i) {
+    rig::TrialOptions trial = options.trial;
+    trial.tell = options.seeds == 1;
+    trial.seed += i;
+    results[i] = rig::TryChange(text, options.file, trial);
+  });
   int broken = 0, done = 0, stopped = 0;
   std::vector<double> ever, harmed, took, back;
   std::map<std::string, int> why;
@@ -151,18 +141,14 @@
         options.file, options.harm, options.trial.amount, options.around, options.trial.members,
         options.trial.faults ? " --faults" : "", options.trial.seed + i);
   }
-  const auto at = [](std::vector<double> of, double share) {
-    if (of.empty()) return 0.0;
-    std::sort(of.begin(), of.end());
-    return of[std::min(of.size() - 1, static_cast<std::size_t>(share * static_cast<double>(of.size())))];
-  };
   std::cout << fmt::format(
       "{} {} {}: {} seeds, {} done, {} stopped, {} broken; ran it {:.0f} (most {:.0f}); harmed {:.0f} (p99 "
       "{:.0f}); "
       "to the stop {:.1f} s (p99 {:.1f}), back after {:.1f} s (p99 {:.1f})\n",
       options.harm, options.trial.amount, options.around, results.size(), done, stopped, broken,
-      at(ever, 0.5), at(ever, 1), at(harmed, 0.5), at(harmed, 0.99), at(took, 0.5), at(took, 0.99),
-      at(back, 0.5), at(back, 0.99));
+      rig::Quantile(ever, 0.5), rig::Quantile(ever, 1), rig::Quantile(harmed, 0.5),
+      rig::Quantile(harmed, 0.99), rig::Quantile(took, 0.5), rig::Quantile(took, 0.99),
+      rig::Quantile(back, 0.5), rig::Quantile(back, 0.99));
   for (const auto& [reason, times] : why) std::cout << fmt::format("  {} x {}\n", times, reason);
   if (!options.json.empty()) Write(options.json, Json{{"runs", all}}.dump(1) + '\n');
   return broken ? kFault : kDone;
--- a/src/keep/host.cpp
+++ b/src/keep/host.cpp
@@ -1,7 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // The keeper's processes, signals and lines, for the logic in keeper.h.
+#include <fcntl.h>
 #include <fmt/format.h>
+#include <linux/close_range.h>
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -157,8 +159,8 @@
       sigemptyset(&none);
       ::sigprocmask(SIG_SETMASK, &none, nullptr);
       for (const int signal : {SIGTERM, SIGINT, SIGHUP, SIGCHLD}) ::signal(signal, SIG_DFL);
-      for (int descriptor = 3; descriptor < 1024; ++descriptor)
-        if (descriptor != pair[1]) ::close(descriptor);
+      ::close_range(3, ~0u, CLOSE_RANGE_CLOEXEC);
+      ::fcntl(pair[1], F_SETFD, 0);
       ::execve(argv[0], argv.data(), envp.data());
       ::_exit(127);
     }
--- a/src/proxy/fleet/counts.cpp
+++ b/src/proxy/fleet/counts.cpp
@@ -31,19 +31,38 @@
   return static_cast<std::uint32_t>(resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE)) / 1024);
 }
 
-void Count(rollout::wire::Stratum& stratum, Counts::How how, bool in_time, int attempts) {
-  const bool served = how == Counts::How::kServed;
+// What a backend rejects is its answer, and served.
+bool IsServed(End end) { return end == End::kServed || end == End::kRejected; }
+
+void Count(rollout::wire::Stratum& stratum, End end, bool in_time, int attempts) {
   stratum.set_asked(stratum.asked() + 1);
-  stratum.set_missed(stratum.missed() + !(served && in_time));
-  stratum.set_refused(stratum.refused() + (how == Counts::How::kRefused));
-  stratum.set_failed(stratum.failed() + (how == Counts::How::kFailed));
+  stratum.set_missed(stratum.missed() + !(IsServed(end) && in_time));
+  stratum.set_refused(stratum.refused() + (end == End::kRefused));
+  stratum.set_failed(stratum.failed() + (end == End::kFailed));
   stratum.set_attempts(stratum.attempts() + static_cast<std::uint64_t>(std::max(0, attempts)));
 }
 
 }  // namespace
 
-void Counts::Ended(int request_class, std::uint32_t account, How how, bool in_time, int attempts,
+const char* NameOf(End end) {
+  switch (end) {
+    case End::kServed:
+      return "served";
+    case End::kRejected:
+      return "rejected";
+    case End::kRefused:
+      return "refused";
+    case End::kFailed:
+      return "failed";
+    case End::kClientGone:
+      return "client_gone";
+  }
+  return "unknown";
+}
+
+void Counts::Ended(int request_class, std::uint32_t account, End end, bool in_time, int attempts,
                    double after_ms) {
+  if (end == End::kClientGone) return;
   ++asked_;
   const auto cls = static_cast<std::uint32_t>(std::max(0, request_class));
   const auto of = [&](std::uint32_t number) -> rollout::wire::Stratum* {
@@ -56,15 +75,15 @@
     return &fresh;
   };
   if (rollout::wire::Stratum* stratum = of(0)) {
-    Count(*stratum, how, in_time, attempts);
-    if (how == How::kServed) {
+    Count(*stratum, end, in_time, attempts);
+    if (IsServed(end)) {
       while (stratum->times_size() < static_cast<int>(rollout::kTimeBuckets)) stratum->add_times(0);
       const int bucket = static_cast<int>(rollout::TimeBucket(after_ms));
       stratum->set_times(bucket, stratum->times(bucket) + 1);
     }
   }
   if (account == 0) return;
-  if (rollout::wire::Stratum* stratum = of(account)) Count(*stratum, how, in_time, attempts);
+  if (rollout::wire::Stratum* stratum = of(account)) Count(*stratum, end, in_time, attempts);
 }
 
 rollout::wire::Report Counts::Report() const {
--- a/src/proxy/fleet/counts.h
+++ b/src/proxy/fleet/counts.h
@@ -12,12 +12,15 @@
 
 namespace copperpoint::proxy {
 
+// How a request ended.
+enum class End { kServed, kRejected, kRefused, kFailed, kClientGone };
+const char* NameOf(End end);  // as the log has it
+
 class Counts {
  public:
-  enum class How { kServed, kRefused, kFailed };
-
-  // A request's end. `account`: 0 where there is none; `in_time`: its answer was of use.
-  void Ended(int request_class, std::uint32_t account, How how, bool in_time, int attempts, double after_ms);
+  // `account`: 0 where there is none; `in_time`: the answer was of use. A client that has gone is no answer
+  // of ours, and does not count.
+  void Ended(int request_class, std::uint32_t account, End end, bool in_time, int attempts, double after_ms);
   // So much of it as goes into a letter: classes before accounts, those asked most before others.
   rollout::wire::Report Report() const;
   std::uint64_t asked() const { return asked_; }
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -438,7 +438,7 @@
 }
 
 void Proxy::OnClientGone(RequestId request) {
-  if (!Conclude(request, "client_gone")) return;
+  if (!Conclude(request, End::kClientGone)) return;
   ForgetIfOver(request);
   Feed(ClientGone{request});
 }
@@ -492,18 +492,19 @@
 #ifdef COPPERPOINT_HARM
   // For tests of rolling changes: a build that fails every fourth request.
   if (result.outcome == Outcome::kOk && ++harmed_ % 4 == 0) {
-    if (const auto responder = Conclude(request, "failed", "harm")) responder->Failed();
+    if (const auto responder = Conclude(request, End::kFailed, "harm")) responder->Failed();
   }
 #endif
   if (result.outcome == Outcome::kOk) {
-    if (const auto responder = Conclude(request, "served")) {
+    if (const auto responder = Conclude(request, End::kServed)) {
       responder->Served(std::move(result.response), std::move(result.rest), result.length);
     }
   } else if (result.outcome == Outcome::kUnknown) {
-    if (const auto responder = Conclude(request, "rejected")) responder->Rejected(result.response.result());
+    if (const auto responder = Conclude(request, End::kRejected))
+      responder->Rejected(result.response.result());
   } else if (result.local) {
     // Over a limit of this process: no backend is to blame, and another attempt would fare no better.
-    if (const auto responder = Conclude(request, attempt == 0 ? "refused" : "failed", "own_limit")) {
+    if (const auto responder = Conclude(request, attempt == 0 ? End::kRefused : End::kFailed, "own_limit")) {
       if (attempt == 0) {
         responder->Refused(config_.shares.refusal);
       } else {
@@ -513,7 +514,7 @@
   } else if (found != pending_.end() && found->second.upload && found->second.upload->consumed) {
     // Some of the body has left for good: there is no other attempt.
     const bool ran = result.outcome != Outcome::kConnectFailed && result.outcome != Outcome::kFull;
-    if (const auto responder = Conclude(request, ran ? "failed" : "refused", "body_has_left"))
+    if (const auto responder = Conclude(request, ran ? End::kFailed : End::kRefused, "body_has_left"))
       ran ? responder->Failed() : responder->Refused(config_.shares.refusal);
   }
   end.settled = found == pending_.end() || !found->second.responder;
@@ -523,22 +524,19 @@
 
 // Ends the request: whoever gets the responder gives the one final answer. One line each, for who counts
 // across a fleet.
-std::shared_ptr<Responder> Proxy::Conclude(RequestId request, const char* how, const char* why) {
+std::shared_ptr<Responder> Proxy::Conclude(RequestId request, End end, const char* why) {
   const auto found = pending_.find(request);
   if (found == pending_.end() || !found->second.responder) return nullptr;
   Pending& of = found->second;
   log::Global().Debug("request_ended", {{"request", request},
                                         {"class", of.request_class},
-                                        {"how", how},
+                                        {"how", NameOf(end)},
                                         {"why", why},
                                         {"attempts", of.attempts},
                                         {"after_ms", Duration(Steady::now() - of.arrived).count()},
                                         {"allowed_ms", Duration(of.due - of.arrived).count()}});
-  if (fleet_ && *how != 'c') {  // a client that has gone is no answer of ours
+  if (fleet_) {
     const auto now = Steady::now();
-    const Counts::How end = *how == 's' || std::string_view(how) == "rejected" ? Counts::How::kServed
-                            : std::string_view(how) == "refused"               ? Counts::How::kRefused
-                                                                               : Counts::How::kFailed;
     fleet_->counts().Ended(of.request_class, static_cast<std::uint32_t>(of.tenant + 1), end, now <= of.due,
                            of.attempts, Duration(now - of.arrived).count());
   }
@@ -554,13 +552,13 @@
 }
 
 void Proxy::Do(const Refuse& action) {
-  if (const auto responder = Conclude(action.request, "refused", action.why))
+  if (const auto responder = Conclude(action.request, End::kRefused, action.why))
     responder->Refused(action.retry_after);
   ForgetIfOver(action.request);
 }
 
 void Proxy::Do(const Fail& action) {
-  if (const auto responder = Conclude(action.request, "failed", action.why)) responder->Failed();
+  if (const auto responder = Conclude(action.request, End::kFailed, action.why)) responder->Failed();
   ForgetIfOver(action.request);
 }
 
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -108,7 +108,7 @@
 
   void OnAttemptDone(RequestId request, int attempt, ServerId server, Steady::time_point sent,
                      AttemptResult result);
-  std::shared_ptr<Responder> Conclude(RequestId request, const char* how, const char* why = "");
+  std::shared_ptr<Responder> Conclude(RequestId request, End end, const char* why = "");
   void ForgetIfOver(RequestId request);
   void ArmTimer();
 
--- a/src/rig/judge.cpp
+++ b/src/rig/judge.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "rig/quantile.h"
+
 namespace copperpoint::rig {
 namespace {
 
@@ -15,12 +17,6 @@
   return marked;
 }
 
-double Quantile(std::vector<double> of, double share) {
-  if (of.empty()) return 0;
-  std::sort(of.begin(), of.end());
-  return of[std::min(of.size() - 1, static_cast<std::size_t>(share * static_cast<double>(of.size())))];
-}
-
 }  // namespace
 
 Judge::Judge(const Plan& plan, std::uint64_t seed, double silence_s)
--- a/src/rig/processes/directory.h
+++ b/src/rig/processes/directory.h
@@ -35,7 +35,6 @@
   Tcp::endpoint address(int proxy) const;
   // `started`: its process is a new one, cold from now on.
   void Set(int backend, Phase phase, bool started);
-  Phase phase(int backend) const { return entries_[static_cast<std::size_t>(backend)].phase; }
   // Whether that proxy was told of the backend's present process.
   bool ToldOfStart(int proxy, int backend) const;
   // A new process of a proxy knows nothing; one that stood still has read nothing.
--- /dev/null
+++ b/src/rig/quantile.h
@@ -0,0 +1,20 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef COPPERPOINT_RIG_QUANTILE_H_
+#define COPPERPOINT_RIG_QUANTILE_H_
+
+#include <algorithm>
+#include <cstddef>
+#include <vector>
+
+namespace copperpoint::rig {
+
+// The least value that at most `share` of the others lie below; 0 of none.
+inline double Quantile(std::vector<double> of, double share) {
+  if (of.empty()) return 0;
+  std::sort(of.begin(), of.end());
+  return of[std::min(of.size() - 1, static_cast<std::size_t>(share * static_cast<double>(of.size())))];
+}
+
+}  // namespace copperpoint::rig
+
+#endif  // COPPERPOINT_RIG_QUANTILE_H_
--- a/src/rig/trial.cpp
+++ b/src/rig/trial.cpp
@@ -109,7 +109,6 @@
   std::vector<std::pair<Micros, int>> faults_;  // when and which
   std::vector<std::string> told_;
   Micros last_fault_over_ = 0, lossy_until_ = 0;
-  std::uint64_t first_change_ = 0;   // key of the first plan
   std::set<std::uint64_t> aborted_;  // changes
   std::string second_;
   TrialResult result_;
@@ -461,9 +460,7 @@
   if (options_.faults) DrawFaults();
   const int first = static_cast<int>(random_.Below(nodes_.size()));
   if (const std::string why = At(first).agent->Start(Time(0), plan_, all); !why.empty()) Break(why);
-  first_change_ = At(first).agent->mark().change;
   Take(first);
-  const rollout::Order order = rollout::MakeOrder(plan_, all, first_change_);
 
   constexpr Micros kStep = 50'000;
   Micros settled_at = 0, next_serve = kSecond;
--- a/src/rollout/agent.cpp
+++ b/src/rollout/agent.cpp
@@ -120,7 +120,6 @@
   next_around_ = now;
   held_since_ = majority_at_ = now;
   back_at_ = Time{};
-  asked_to_run_ = false;
   mark_ = Mark{key_, Course::kGoing, 0, 0};
   // A process begun anew must not act on less than the one before it knew.
   // Nor on less than came before its document.
@@ -176,7 +175,6 @@
 void Agent::Run(const std::string& version, const std::string& why) {
   if (running_ == version) return;
   running_ = version;
-  asked_to_run_ = true;
   output_.run = version;
   Say("run", version + ": " + why);
 }
--- a/src/rollout/agent.h
+++ b/src/rollout/agent.h
@@ -57,7 +57,8 @@
   void OnDocument(Time now, std::uint32_t topic, std::uint64_t version, const std::string& body);
   void OnLetter(Time now, const std::string& from, std::string_view body);
   void OnTick(Time now);
-  Time next() const { return next_; }
+  // Never without a change: a fleet at rest is not woken for it.
+  Time next() const { return plan_ ? next_ : Time::max() / 2; }
   // Its keeper took a version back.
   void OnFailed(const std::string& version, const std::string& why);
 
@@ -125,8 +126,7 @@
   bool expired_ = false;   // it had not begun in time, as far as this member knows
   bool first_ = false;     // of those that live this one leads
   bool majority_ = false;  // of the members of the change lives
-  bool asked_to_run_ = false;
-  std::string running_;  // that was asked for last
+  std::string running_;    // that was asked for last
   Mark mark_;
   Mark known_;                                  // by its keeper, from the process before
   std::uint64_t seen_mark_ = 0, seen_end_ = 0;  // the greatest that came, of whichever change
