The operator's address knows no part by name; one struct for an answer, one pass over the parts

Read over again: /rollout stood in the operator's address and in the proxy, FleetHost had a copy of OperatorCalls::Said, LookAtParts took the agent's output twice a round and guarded against a re-entry that cannot be, and every file of the rig's processes read the HTTP library for the one that asks.

--- a/src/proxy/control/operator.cpp
+++ b/src/proxy/control/operator.cpp
@@ -172,7 +172,7 @@
   // A call to a part of the fleet may have a body, and is read whole.
   bool ForPart() const {
     const auto target = parser_.get().target();
-    return std::string_view(target.data(), target.size()).starts_with("/rollout");
+    return owner_->calls_.HasPart(std::string_view(target.data(), target.size()));
   }
 
   void OnHead(const Error& failed) {
--- a/src/proxy/control/operator.h
+++ b/src/proxy/control/operator.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace copperpoint::proxy {
 
@@ -27,7 +28,9 @@
   virtual Verdict Enable(const std::string& backend) = 0;
   virtual Verdict Drain() = 0;
   virtual Verdict Undrain() = 0;
-  // Calls of the parts that proxies of a fleet share, by path. Nothing: there is no such call.
+  // Calls of the parts that proxies of a fleet share, which may have a body: whether a path is one of them,
+  // and the call itself, for those alone. Nothing: there is no such call.
+  virtual bool HasPart(std::string_view /*path*/) const { return false; }
   struct Said {
     bool done = true;
     std::string text;
--- a/src/proxy/fleet/host.cpp
+++ b/src/proxy/fleet/host.cpp
@@ -150,10 +150,9 @@
 
 // What the view has for the parts that live on it, and what they have for the view.
 void FleetHost::LookAtParts() {
-  if (std::exchange(carrying_, true)) return;
-  for (;;) {
-    view::Output output = view_.Take();
+  for (bool more = true; more;) {
     CarryOut(agent_.Take());
+    const view::Output output = view_.Take();
     for (const view::Letter& letter : output.letters)
       if (letter.topic == rollout::kLetterTopic) agent_.OnLetter(FleetNow(), letter.from, letter.body);
     for (const view::Topic topic : output.documents) {
@@ -161,12 +160,8 @@
       if (document) agent_.OnDocument(FleetNow(), topic, document->version, document->body);
     }
     Send(output);
-    const bool more = !output.letters.empty() || !output.documents.empty();
-    CarryOut(agent_.Take());
-    if (!more) break;
+    more = !output.letters.empty() || !output.documents.empty();  // the agent may have answered
   }
-  Send(view_.Take());
-  carrying_ = false;
 }
 
 void FleetHost::CarryOut(rollout::Agent::Output output) {
@@ -198,16 +193,16 @@
   return members;
 }
 
-std::optional<FleetHost::Said> FleetHost::Rollout(const std::string& what, bool post,
-                                                  const std::string& body) {
+std::optional<OperatorCalls::Said> FleetHost::Rollout(const std::string& what, bool post,
+                                                      const std::string& body) {
   const view::Time now = FleetNow();
   if (!post) {
-    if (what == "/history") return Said{true, agent_.History(now)};
+    if (what == "/history") return OperatorCalls::Said{true, agent_.History(now)};
     if (!what.empty()) return std::nullopt;
     auto json = nlohmann::ordered_json::parse(agent_.Status(now));
     const double lived = std::chrono::duration<double>(now - began_).count();
     json["rate_per_s"] = static_cast<double>(counts_.asked()) / std::max(1.0, lived);
-    return Said{true, json.dump()};
+    return OperatorCalls::Said{true, json.dump()};
   }
   std::string why;
   if (what == "/start") {
@@ -224,7 +219,7 @@
     return std::nullopt;
   }
   Flush();
-  return Said{why.empty(), why.empty() ? "done" : why};
+  return OperatorCalls::Said{why.empty(), why.empty() ? "done" : why};
 }
 
 void FleetHost::Flush() {
--- a/src/proxy/fleet/host.h
+++ b/src/proxy/fleet/host.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "peers/transport.h"
+#include "proxy/control/operator.h"
 #include "proxy/fleet/counts.h"
 #include "proxy/fleet/keeper_link.h"
 #include "proxy/fleet/settings.h"
@@ -51,11 +52,7 @@
 
   // What an operator says of changes: the path behind /rollout, and whether it was a POST. Empty: no such
   // call.
-  struct Said {
-    bool done = true;
-    std::string text;
-  };
-  std::optional<Said> Rollout(const std::string& what, bool post, const std::string& body);
+  std::optional<OperatorCalls::Said> Rollout(const std::string& what, bool post, const std::string& body);
 
  private:
   void Open();
@@ -79,7 +76,7 @@
   std::unique_ptr<KeeperLink> keeper_;
   rollout::Agent agent_;
   view::Time began_{};
-  bool heard_ = false, ready_ = false, carrying_ = false;
+  bool heard_ = false, ready_ = false;
   std::unique_ptr<peers::Transport> transport_;
   boost::asio::steady_timer timer_;
   bool told_waiting_ = false, left_ = false;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -24,6 +24,7 @@
 constexpr Duration kStopGrace{600};  // connections go on coming for up to 400 ms after SIGTERM
 
 constexpr std::chrono::milliseconds kLookForDisabled{100};
+constexpr std::string_view kRolloutPath = "/rollout";
 constexpr int kLeastPeers = 32;  // descriptors for clients and backends, however many another process holds
 
 int OwnDescriptors(const Config& config) {
@@ -151,11 +152,10 @@
   return Verdict::kDone;
 }
 
+bool Proxy::HasPart(std::string_view path) const { return fleet_ && path.starts_with(kRolloutPath); }
+
 std::optional<OperatorCalls::Said> Proxy::Part(const std::string& path, bool post, const std::string& body) {
-  if (!fleet_ || !path.starts_with("/rollout")) return std::nullopt;
-  const auto said = fleet_->Rollout(path.substr(8), post, body);
-  if (!said) return std::nullopt;
-  return Said{said->done, said->text};
+  return fleet_->Rollout(path.substr(kRolloutPath.size()), post, body);
 }
 
 void Proxy::TellFleet() {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -56,6 +56,7 @@
   Verdict Drain() override;
   Verdict Undrain() override;
   std::string Fleet() const override { return fleet_ ? fleet_->Json() : ""; }
+  bool HasPart(std::string_view path) const override;
   std::optional<Said> Part(const std::string& path, bool post, const std::string& body) override;
 
   boost::asio::ip::tcp::endpoint address() const { return clients_->address(); }
--- a/src/rig/processes/fleet.h
+++ b/src/rig/processes/fleet.h
@@ -13,12 +13,6 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
 #include <filesystem>
 #include <fstream>
 #include <list>
@@ -45,8 +39,6 @@
 namespace copperpoint::rig {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
 
 constexpr double kDrainGraceMs = 550;                  // the rule's, and what sockets take
 constexpr std::chrono::milliseconds kLookAnswer{400};  // for one proxy's answer
--- a/src/rig/processes/watch.cpp
+++ b/src/rig/processes/watch.cpp
@@ -1,9 +1,19 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
 #include "rig/processes/fleet.h"
 
 namespace copperpoint::rig {
 namespace {
 
+namespace beast = boost::beast;
+namespace http = beast::http;
+
 constexpr double kHeaders = 28;                  // bytes of IP and UDP around a datagram
 constexpr std::chrono::milliseconds kLook{100};  // between looks at all views
 
