Attempts end with their client or backend while unsent; lingering closes; watches by message

Ruled out: the module's waiting list (ClientGone settles at once), descriptors at backends (121 at once of 544).

Change: Backends::AbortUnsent, by ticket when the client goes, by server when it retires; aborted attempts are moot. Requests are written by hand, so that whether the last byte is out is known when the system has it; Req-Deadline-Ms is what is left then. Clients reads ahead of an open request, and so sees its client leave; a first request's time counts from when the queue was last seen empty; places go to who waits, whoever rests; every close of a resting connection is a lingering one, and the stop waits for it. The watch counts whole messages as life, takes indented ones, is given up after 3 s and a dial after 1 s; backoff of asking 1 s at most. An action that throws does not cost the others.

--- a/src/decision/asking.h
+++ b/src/decision/asking.h
@@ -25,8 +25,9 @@
     if (kind == ListKind::kCached) {
       at_ = now;
     } else if (kind == ListKind::kFailed) {
-      // From a twentieth to a quarter of the time within which the rules want a call.
-      backoff_ = std::min(within_ / 4, std::max(within_ / 20, backoff_ * 2));
+      // From a twentieth to a quarter of the time within which the rules want a call, and never so long that
+      // a change which discovery has when it can be reached again comes too late.
+      backoff_ = std::min({within_ / 4, kMostBackoff, std::max(within_ / 20, backoff_ * 2)});
       at_ = now + backoff_ * (0.5 + 0.5 * random.Unit());
     } else {
       backoff_ = Duration(0);
@@ -37,13 +38,16 @@
   // True once when it is time to ask.
   bool Due(TimePoint now) {
     if (now < at_) return false;
-    at_ = now + within_ / 2;  // an answer may never come
+    at_ = now + std::min(within_ / 2, kMostAnswer);  // an answer may never come
     return true;
   }
 
   TimePoint at() const { return at_; }
 
  private:
+  // A change counts as told 6 s after discovery had it and could be reached, whatever failed before.
+  static constexpr Duration kMostBackoff{1000}, kMostAnswer{4000};
+
   Duration within_, backoff_{0};
   TimePoint at_ = kNever;
 };
--- a/src/proxy/data/backends.cpp
+++ b/src/proxy/data/backends.cpp
@@ -2,19 +2,18 @@
 #include "proxy/data/backends.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/rfc7230.hpp>
-#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
-#include <cmath>
 #include <optional>
-#include <sstream>
 #include <utility>
 
 #include "log/log.h"
@@ -29,6 +28,7 @@
 using Error = boost::system::error_code;
 
 constexpr std::size_t kMostAnswerHeader = 16 * 1024;
+constexpr char kDeadlineField[] = "Req-Deadline-Ms";
 constexpr int kMostInterim = 8;     // 1xx answers ahead of the final one
 constexpr double kIdleShare = 0.8;  // of the time after which backends close: ours must come first
 
@@ -69,11 +69,12 @@
     socket_.open(address.protocol(), error);
     if (!error) socket_.set_option(Tcp::no_delay(true), error);
     if (!error) socket_.non_blocking(true, error);
-    if (error) return FinishSoon(Outcome::kMoot);
+    if (error) return FinishSoon(Outcome::kMoot, /*local=*/true);
     SetTimer(std::min(deadline_, Steady::now() + ToSteady(connect_timeout)));
-    socket_.async_connect(address, [self = shared_from_this()](const Error& failed) {
-      if (!self->done_) return;
-      if (failed) return self->Finish(IsLocal(failed) ? Outcome::kMoot : Outcome::kConnectFailed);
+    socket_.async_connect(address, [self = shared_from_this(), use = use_](const Error& failed) {
+      if (!self->Carries(use)) return;
+      if (failed && IsLocal(failed)) return self->Finish(Outcome::kMoot, {}, /*local=*/true);
+      if (failed) return self->Finish(Outcome::kConnectFailed);
       self->SetTimer(self->deadline_);
       // What speaks before it is asked will not answer what it is asked.
       if (!self->Quiet()) return self->Finish(Outcome::kConnectFailed);
@@ -85,18 +86,17 @@
               std::shared_ptr<Upload> upload) {
     ++use_;
     request_ = std::move(request);
-    head_.base() = request_->base();
-    head_.set("Req-Deadline-Ms", std::to_string(static_cast<long long>(std::ceil(timeout.count()))));
-    head_.body() = {request_->body().data(), request_->body().size()};
     done_ = std::move(done);
     upload_ = std::move(upload);
     timeout_ = ToSteady(timeout);
     body_.clear();
     deadline_ = Steady::now() + ToSteady(timeout);
-    written_ = begun_ = false;
+    written_ = begun_ = aborted_ = false;
     interim_ = 0;
   }
 
+  std::uint64_t use() const { return use_; }
+
   void Reuse() {
     Error ignored;
     socket_.cancel(ignored);  // the watch for its end
@@ -104,9 +104,20 @@
     Write();
   }
 
-  // An attempt that ends before it has begun; its result still comes from the event loop.
-  void FinishSoon(Outcome outcome) {
-    asio::post(owner_->io_, [self = shared_from_this(), outcome] { self->Finish(outcome); });
+  // An attempt that ends before its last byte is out; its result still comes from the event loop. Nothing
+  // that completes in the meantime may carry it on.
+  void FinishSoon(Outcome outcome, bool local = false) {
+    aborted_ = true;
+    asio::post(owner_->io_, [self = shared_from_this(), outcome, local, use = use_] {
+      if (use == self->use_) self->Finish(outcome, {}, local);
+    });
+  }
+
+  // Ends an attempt that cannot have run yet: the backend has not been given its last byte. One whose body
+  // has partly left for good goes on, as there is no other try.
+  void AbortUnsent() {
+    if (!done_ || aborted_ || written_ || (upload_ && upload_->consumed)) return;
+    FinishSoon(Outcome::kMoot);
   }
 
   // Open, with nothing to read. Guards against writing to a connection that the backend has closed in the
@@ -157,10 +168,13 @@
   }
 
  private:
+  // What every completion asks first: whether the attempt that it was begun for is still out here.
+  bool Carries(std::uint64_t use) const { return done_ && use == use_ && !aborted_; }
+
   void SetTimer(Steady::time_point at) {
     timer_.expires_at(at);
     timer_.async_wait([self = shared_from_this()](const Error& cancelled) {
-      if (cancelled || self->closed_ || Steady::now() < self->timer_.expiry()) return;
+      if (cancelled || self->closed_ || self->aborted_ || Steady::now() < self->timer_.expiry()) return;
       if (!self->done_) return self->Close();  // idle for too long, or stalled in a large answer
       // Nothing has run unless the last byte was written.
       self->Finish(!self->written_                                           ? Outcome::kConnectFailed
@@ -169,40 +183,77 @@
     });
   }
 
-  void Write() {
-    if (upload_) return WriteUpload();
-    http::async_write(socket_, head_, [self = shared_from_this()](const Error& failed, std::size_t) {
-      if (!self->done_) return;
-      if (failed) return self->Finish(Outcome::kConnectFailed);
-      self->written_ = true;
-      self->AwaitAnswer();
-    });
+  // The request as it came, but for how long its answer will be waited for: that is what is left by now, as a
+  // dial may have taken its part of it.
+  std::string Head(Steady::duration left) const {
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
+    const auto method = request_->method_string(), target = request_->target();
+    std::string head;
+    head.reserve(512);
+    head.append(method.data(), method.size()).append(1, ' ');
+    head.append(target.data(), target.size()).append(" HTTP/1.1\r\n");
+    for (const auto& field : *request_) {
+      const auto name = field.name_string(), value = field.value();
+      if (boost::beast::iequals(name, kDeadlineField)) continue;
+      head.append(name.data(), name.size()).append(": ");
+      head.append(value.data(), value.size()).append("\r\n");
+    }
+    head.append(kDeadlineField).append(": ").append(std::to_string(std::max<long long>(ms, 1)));
+    return head.append("\r\n\r\n");
   }
 
-  void WriteUpload() {
-    std::ostringstream head;
-    head << head_.base();
-    WritePiece(head.str() + Framed({head_.body().data(), head_.body().size()}, false, head_.chunked()),
-               false);
+  void Write() {
+    const auto left = deadline_ - Steady::now();
+    if (left <= Steady::duration(0)) return FinishSoon(Outcome::kMoot);
+    if (upload_)
+      return WritePiece(Head(timeout_) + Framed(request_->body(), false, request_->chunked()), false);
+    out_ = Head(left);
+    out_at_ = 0;
+    Flush(/*last=*/true);
   }
 
   // The attempt's own time begins with the last byte: until then the client is timed by its session, and a
   // backend by how long it takes nothing.
   void WritePiece(std::string text, bool last) {
     out_ = std::move(text);
+    out_at_ = 0;
     SetTimer(Steady::now() + owner_->limits_.patience.stalled);
-    asio::async_write(socket_, asio::buffer(out_),
-                      [self = shared_from_this(), use = use_, last](const Error& failed, std::size_t) {
-                        if (!self->done_ || use != self->use_) return;
-                        if (failed) return self->Finish(Outcome::kConnectFailed);
-                        if (!last) return self->ReadUpload();
-                        self->out_ = {};
-                        self->written_ = true;
-                        self->written_at_ = Steady::now();
-                        self->deadline_ = self->written_at_ + self->timeout_;
-                        self->SetTimer(self->deadline_);
-                        self->AwaitAnswer();
-                      });
+    Flush(last);
+  }
+
+  // Guards against an attempt that the backend has whole being taken for one that never ran: whether its last
+  // byte is out is known here as soon as the system has it, not a turn of the loop later, in which a timer or
+  // a reset may come first.
+  void Flush(bool last) {
+    const auto body = upload_ ? asio::const_buffer() : asio::buffer(request_->body());
+    const std::size_t all = out_.size() + body.size();
+    while (out_at_ < all) {
+      const std::size_t of_head = std::min(out_at_, out_.size());
+      const std::array<asio::const_buffer, 2> rest{asio::buffer(out_) + of_head, body + (out_at_ - of_head)};
+      Error failed;
+      out_at_ += socket_.write_some(rest, failed);
+      if (failed == asio::error::would_block || failed == asio::error::try_again) {
+        socket_.async_wait(Tcp::socket::wait_write,
+                           [self = shared_from_this(), use = use_, last](const Error& failed) {
+                             if (!self->Carries(use)) return;
+                             failed ? self->Finish(Outcome::kConnectFailed) : self->Flush(last);
+                           });
+        return;
+      }
+      if (failed && failed != asio::error::interrupted) return FinishSoon(Outcome::kConnectFailed);
+    }
+    last ? OnWritten() : ReadUpload();
+  }
+
+  void OnWritten() {
+    written_ = true;
+    if (upload_) {
+      out_ = {};
+      written_at_ = Steady::now();
+      deadline_ = written_at_ + timeout_;
+      SetTimer(deadline_);
+    }
+    AwaitAnswer();
   }
 
   void ReadUpload() {
@@ -210,16 +261,16 @@
     SetTimer(Steady::time_point::max());
     upload_->rest->Read(
         [self = shared_from_this(), use = use_](bool whole, std::string_view piece, bool last) {
-          if (!self->done_ || use != self->use_) return;
+          if (!self->Carries(use)) return;
           if (!whole) return self->Finish(Outcome::kMoot);  // the client's doing, and nothing has run
-          self->WritePiece(Framed(piece, last, self->head_.chunked()), last);
+          self->WritePiece(Framed(piece, last, self->request_->chunked()), last);
         });
   }
 
   // An answer that has begun comes whole soon, or not at all: its connection may stay open and silent.
   void AwaitAnswer() {
     socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this(), use = use_](const Error& failed) {
-      if (!self->done_ || use != self->use_) return;
+      if (!self->Carries(use)) return;
       if (failed) return self->Finish(Outcome::kReset);
       self->begun_ = true;
       self->ExpectMore();
@@ -234,8 +285,8 @@
     parser_->body_limit(kMostBody);
     parser_->header_limit(kMostAnswerHeader);
     http::async_read_header(socket_, buffer_, *parser_,
-                            [self = shared_from_this()](const Error& failed, std::size_t) {
-                              if (!self->done_) return;
+                            [self = shared_from_this(), use = use_](const Error& failed, std::size_t) {
+                              if (!self->Carries(use)) return;
                               if (failed) return self->Finish(Outcome::kReset);
                               self->OnHeader();
                             });
@@ -270,7 +321,7 @@
       return ok ? BeginStream() : Finish(Outcome::kReset);
     ReadPiece(socket_, buffer_, *parser_, piece_,
               [self = shared_from_this(), use = use_](const Error& failed, auto got) {
-                if (!self->done_ || use != self->use_) return;
+                if (!self->Carries(use)) return;
                 if (failed) return self->Finish(Outcome::kReset);
                 self->body_.append(self->piece_.data(), got());
                 self->ExpectMore();
@@ -326,7 +377,6 @@
   void Clear() {
     request_ = {};
     upload_.reset();
-    head_ = {};
     parser_.reset();
     out_ = {};
     body_ = {};
@@ -335,7 +385,7 @@
     buffer_.shrink_to_fit();
   }
 
-  void Finish(Outcome outcome, HttpResponse response = {}) {
+  void Finish(Outcome outcome, HttpResponse response = {}, bool local = false) {
     if (!done_) return;
     const auto self = shared_from_this();
     const AttemptDone done = std::exchange(done_, nullptr);
@@ -354,7 +404,7 @@
     result.outcome = outcome;
     result.response = std::move(response);
     if (uploaded) result.written = written_at_;
-    result.local = outcome == Outcome::kMoot;
+    result.local = local;
     done(std::move(result));
   }
 
@@ -365,19 +415,22 @@
   asio::steady_timer timer_;
   boost::beast::flat_buffer buffer_{kMostWhole + kMostAnswerHeader};
   std::optional<http::response_parser<http::buffer_body>> parser_;
-  std::string body_, out_;  // an answer's body as far as it is held; what is being written of a large request
+  std::string body_, out_;   // an answer's body as far as it is held; what is being written of a request
+  std::size_t out_at_ = 0;   // what the system has taken of that, and of the body behind it
   std::vector<char> piece_;  // of a body that is being read
   std::shared_ptr<Upload> upload_;
   PieceSource::OnPiece on_piece_;  // wants the next piece of a large answer
   std::shared_ptr<const HttpRequest> request_;
-  http::request<http::span_body<const char>> head_;  // the request as it is written; its body is request_'s
-  AttemptDone done_;                                 // set while an attempt is out
+  AttemptDone done_;  // set while an attempt is out
   Steady::duration timeout_{};
   Steady::time_point deadline_{}, idle_since_{}, written_at_{};
   bool streaming_ = false;
   std::uint64_t use_ = 0;
   int interim_ = 0;
-  bool written_ = false, begun_ = false, reusable_ = false, closed_ = false;
+  bool written_ = false;  // the request's last byte is out: it may run
+  bool begun_ = false;    // its answer has
+  bool aborted_ = false;  // its end is on its way through the event loop
+  bool reusable_ = false, closed_ = false;
 };
 
 Backends::Backends(asio::io_context& io, Limits limits) : io_(io), limits_(limits) {}
@@ -402,9 +455,17 @@
 void Backends::Retire(ServerId server) {
   const auto found = backends_.find(server);
   if (found == backends_.end()) return;
-  ++found->second.generation;
-  found->second.usable = false;
+  Backend& backend = found->second;
+  if (!backend.usable && backend.live == 0) return;
+  ++backend.generation;
+  backend.usable = false;
   CloseIdle(server);
+  if (backend.live == 0) return;
+  // What is still being dialled or written would begin at a backend that wants nothing new.
+  for (const auto& [key, weak] : live_) {
+    if (const auto connection = weak.lock(); connection && connection->server() == server)
+      connection->AbortUnsent();
+  }
 }
 
 void Backends::RetireOthers(const std::unordered_set<ServerId>& named) {
@@ -426,13 +487,19 @@
   if (found != backends_.end() && !found->second.usable && found->second.live == 0) backends_.erase(found);
 }
 
-void Backends::Send(ServerId server, std::shared_ptr<const HttpRequest> request, Duration timeout,
-                    AttemptDone done, std::shared_ptr<Upload> upload) {
+void Backends::AbortUnsent(const Ticket& ticket) {
+  const auto connection = std::static_pointer_cast<Connection>(ticket.connection.lock());
+  if (connection && connection->use() == ticket.use) connection->AbortUnsent();
+}
+
+Backends::Ticket Backends::Send(ServerId server, std::shared_ptr<const HttpRequest> request, Duration timeout,
+                                AttemptDone done, std::shared_ptr<Upload> upload) {
   Backend& backend = backends_[server];
   std::shared_ptr<Connection> connection = TakeIdle(backend);
   if (connection) {
     connection->Assign(std::move(request), timeout, std::move(done), std::move(upload));
-    return connection->Reuse();
+    connection->Reuse();
+    return {connection, connection->use()};
   }
   connection = std::make_shared<Connection>(*this, server, backend.generation);
   live_.emplace(connection.get(), connection);
@@ -441,11 +508,16 @@
   connection->Assign(std::move(request), timeout, std::move(done), std::move(upload));
   // A backend that never had an address could not be connected to; a pool full of attempts is no backend's
   // fault.
-  if (backend.address.port() == 0) return connection->FinishSoon(Outcome::kConnectFailed);
-  if (open_ > limits_.connections && !CloseOldestIdle()) return connection->FinishSoon(Outcome::kMoot);
-  ++opened_;
-  log::Global().Debug("connection_opened", {{"server", server}});
-  connection->Open(backend.address, limits_.connect_timeout);
+  if (backend.address.port() == 0) {
+    connection->FinishSoon(Outcome::kConnectFailed);
+  } else if (open_ > limits_.connections && !CloseOldestIdle()) {
+    connection->FinishSoon(Outcome::kMoot, /*local=*/true);
+  } else {
+    ++opened_;
+    log::Global().Debug("connection_opened", {{"server", server}});
+    connection->Open(backend.address, limits_.connect_timeout);
+  }
+  return {connection, connection->use()};
 }
 
 // The most recently used of those that have rested. A backend may close just after an answer, or send more
--- a/src/proxy/data/backends.h
+++ b/src/proxy/data/backends.h
@@ -48,6 +48,7 @@
   // Where a backend listens now, and since when it runs. Idle connections to what has moved or restarted go.
   void Set(ServerId server, const boost::asio::ip::tcp::endpoint& address, double up_since);
   // Nothing new will go there: idle connections go, and so do those in use when their answers are in.
+  // Attempts whose last byte is not out end as moot: they never ran.
   void Retire(ServerId server);
   // All but those that a complete list names.
   void RetireOthers(const std::unordered_set<ServerId>& named);
@@ -59,8 +60,14 @@
   // One attempt with the request as it came, but for how long its answer will be waited for. `done` is called
   // once, never from within this call, and not after the destructor.
   // `upload` is the rest of a large body, after whose last byte `timeout` begins.
-  void Send(ServerId server, std::shared_ptr<const HttpRequest> request, Duration timeout, AttemptDone done,
-            std::shared_ptr<Upload> upload = nullptr);
+  struct Ticket {
+    std::weak_ptr<void> connection;
+    std::uint64_t use = 0;
+  };
+  Ticket Send(ServerId server, std::shared_ptr<const HttpRequest> request, Duration timeout, AttemptDone done,
+              std::shared_ptr<Upload> upload = nullptr);
+  // Ends that attempt as moot, soon, unless its last byte is out.
+  void AbortUnsent(const Ticket& ticket);
 
   void SetLimit(std::size_t connections) { limits_.connections = connections; }
   void SetPatience(const Patience& patience) { limits_.patience = patience; }
--- a/src/proxy/data/clients.cpp
+++ b/src/proxy/data/clients.cpp
@@ -31,6 +31,10 @@
 constexpr std::size_t kCopies = 2;  // of a body while it is read
 constexpr std::chrono::milliseconds kSweep{50};
 constexpr std::chrono::milliseconds kFresh{500};  // while drained, for a new connection to say something
+constexpr std::size_t kMostAhead = 32 * 1024;     // of requests behind an open one
+constexpr std::chrono::milliseconds kBegun{
+    500};                       // for the rest of a request, where another waits for the place
+constexpr int kAtOnce = 16;     // clients accepted before others have their turn
 constexpr double kRoomy = 0.4;  // of the connections, up to which those that stand idle are kept
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 constexpr const char* kText = "text/plain";
@@ -43,22 +47,30 @@
 
   std::list<std::shared_ptr<Session>>::iterator place;
 
-  void Start() {
+  // `queued`: since when it may have waited to be accepted, if that is longer ago than just now.
+  void Start(std::optional<Steady::time_point> queued) {
     Error ignored;
     socket_.set_option(Tcp::no_delay(true), ignored);
     socket_.non_blocking(true, ignored);
+    Enter(State::kWaiting, patience().whole_request);
+    if (queued && !ReadAhead(*queued, /*may_drop=*/false)) return Close();
     Wait(patience().whole_request);
   }
 
   // Between requests, with none on its way as far as can be seen.
   bool Idle() const {
     Error error;
-    return state_ == State::kWaiting && socket_.available(error) == 0;
+    return state_ == State::kWaiting && buffer_.size() == 0 && socket_.available(error) == 0;
   }
   bool Reading() const { return state_ == State::kWaiting || state_ == State::kReading; }
   bool Holds() const { return state_ == State::kHeld; }
-  // Owes an answer, or the rest of one.
-  bool Owes() const { return Holds() || state_ == State::kWriting; }
+  // Owes an answer, or the rest of one, or the client may not have taken the last one yet.
+  bool Owes() const { return Holds() || state_ == State::kWriting || state_ == State::kLingering; }
+  bool Lingers() const { return state_ == State::kLingering; }
+  bool HalfReadSince(Steady::time_point at) const {
+    return state_ == State::kReading && since_ <= at && !parser_->is_header_done();
+  }
+  bool IdleSince(Steady::time_point at) const { return since_ <= at && Idle(); }
   // For how long it has been without a request, of one that asked before.
   bool SpareSince(Steady::time_point at) const { return asked_ && since_ <= at && Idle(); }
   bool SilentSince(Steady::time_point at) const { return !asked_ && since_ <= at && Idle(); }
@@ -67,6 +79,7 @@
   void EndIfDue(Steady::time_point now) {
     if (now < until_) return;
     if (state_ == State::kHeld) return FailUpload(http::status::request_timeout, "too slow");
+    if (state_ == State::kWaiting) return CloseLingering();
     if (state_ != State::kReading) return Close();
     Error ignored;
     socket_.cancel(ignored);
@@ -89,6 +102,27 @@
     Close();
   }
 
+  // A lingering close. Guards against a reset: closed with bytes unread, or ahead of bytes that are on their
+  // way, a connection is reset, and the reset may take with it an answer that the client has not read yet. A
+  // client whose request crosses this gets the end and no answer, and sends it once more elsewhere.
+  void CloseLingering() {
+    Error ignored;
+    if (state_ != State::kWriting) socket_.cancel(ignored);  // the watch for a next request, or its reading
+    Release();
+    Enter(State::kLingering, patience().drained);
+    socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+    Discard();
+  }
+
+  // Where the descriptor is wanted at once: what is here is read, so that nothing is reset over it.
+  void CloseNow() {
+    Error failed;
+    socket_.shutdown(Tcp::socket::shutdown_send, failed);
+    char piece[1024];
+    for (int n = 0; n < 64 && !failed; ++n) socket_.read_some(asio::buffer(piece), failed);
+    Close();
+  }
+
   void Served(HttpResponse answer, std::shared_ptr<PieceSource> rest,
               std::optional<std::uint64_t> length) override {
     if (!Holds()) return;
@@ -127,7 +161,7 @@
 
  private:
   // Waiting for the first byte of a request, and then for its last.
-  enum class State { kWaiting, kReading, kHeld, kWriting, kDraining, kClosed };
+  enum class State { kWaiting, kReading, kHeld, kWriting, kLingering, kClosed };
 
   using Parser = http::request_parser<http::buffer_body>;
 
@@ -153,7 +187,8 @@
     Release();
     parser_.reset();
     if (buffer_.size() > 0) return Begin();  // the next request came right behind the last
-    buffer_.shrink_to_fit();                 // what stands idle keeps no memory
+    came_ = std::nullopt;
+    buffer_.shrink_to_fit();  // what stands idle keeps no memory
     socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](const Error& failed) {
       if (self->state_ != State::kWaiting) return;
       if (failed) return self->Close();
@@ -168,12 +203,36 @@
     parser_->header_limit(kMostHeader);
     parser_->body_limit(kMostBody);
     kept_.clear();
-    http::async_read_header(socket_, buffer_, *parser_,
-                            [self = shared_from_this()](const Error& failed, std::size_t) {
-                              if (self->state_ != State::kReading) return;
-                              if (failed) return self->OnUnreadable(failed);
-                              self->OnHeader();
-                            });
+    http::async_read_header(
+        socket_, buffer_, *parser_,
+        [self = shared_from_this(), ahead = buffer_.size()](const Error& failed, std::size_t n) {
+          if (self->state_ != State::kReading) return;
+          if (failed) return self->OnUnreadable(failed);
+          // The head or the body came later than what was here before.
+          const auto body = self->parser_->content_length().value_or(0);
+          if (self->parser_->chunked() || n + body > ahead) self->came_ = std::nullopt;
+          self->OnHeader();
+        });
+  }
+
+  // Takes what has come behind the request that is open, as a client that leaves shows it only behind that;
+  // false if it has left. What is too much is dropped, and the connection closes after this answer.
+  bool ReadAhead(Steady::time_point at, bool may_drop = true) {
+    for (;;) {
+      Error failed;
+      if (buffer_.size() >= kMostAhead) {
+        if (!may_drop) return true;
+        char dropped[4096];
+        last_ = overrun_ = true;
+        socket_.read_some(asio::buffer(dropped), failed);
+      } else {
+        const std::size_t n = socket_.read_some(buffer_.prepare(kMostAhead - buffer_.size()), failed);
+        if (n > 0 && !came_) came_ = at;
+        buffer_.commit(n);
+      }
+      if (failed == asio::error::would_block || failed == asio::error::try_again) return true;
+      if (failed && failed != asio::error::interrupted) return false;
+    }
   }
 
   void OnHeader() {
@@ -286,6 +345,9 @@
 
   void OnRead(Steady::time_point at) {
     asked_ = true;
+    // Its time counts from when it was here whole, which may be long ago: it waited behind another of this
+    // client's, or the connection waited to be accepted.
+    at = std::min(at, came_.value_or(at));
     uploading_ = !parser_->is_done();
     uploaded_ = 0;
     upload_time_ = {};
@@ -312,21 +374,18 @@
       if (!has_length) request.message.chunked(true);
     }
     Enter(State::kHeld, std::nullopt);
+    // Nothing begins for a client that has gone while its request waited to be read.
+    if (!uploading_ && !ReadAhead(Steady::now())) return Close();
     request_ = owner_->handler_.OnRequest(std::move(request), shared_from_this());
     if (state_ == State::kHeld && !uploading_) WatchClient();
   }
 
-  // A client that closes its connection while its request is held has gone.
+  // A client that closes its connection while its request is held has gone, whatever it had sent behind that.
   void WatchClient() {
     socket_.async_wait(Tcp::socket::wait_read,
                        [self = shared_from_this(), of = request_](const Error& failed) {
                          if (failed || !self->Holds() || self->request_ != of) return;
-                         Error error;
-                         char byte;
-                         self->socket_.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
-                         // The start of a next request: it waits for this one's answer, and is not looked at
-                         // before.
-                         if (!error || error == asio::error::would_block) return;
+                         if (self->ReadAhead(Steady::now())) return self->WatchClient();
                          const auto owner = self->owner_;
                          self->Close();
                          owner->handler_.OnClientGone(of);
@@ -342,7 +401,7 @@
   void Write(HttpResponse response) {
     Enter(State::kWriting, patience().answer_taken);
     response_ = std::move(response);
-    last_ |= uploading_ || owner_->stopping_ || owner_->drained_ || owner_->handed_over_;
+    last_ |= uploading_ || overrun_ || owner_->stopping_ || owner_->drained_ || owner_->handed_over_;
     response_.keep_alive(!last_);
     response_.prepare_payload();
     Error ignored;
@@ -356,9 +415,9 @@
   }
 
   void OnAnswered() {
-    if (last_) return CloseGently();
+    if (last_) return CloseLingering();
     Wait(patience().kept);
-    if (owner_->waiting_for_room_) owner_->Accept();
+    if (owner_->waiting_for_room_) owner_->AcceptSoon();
   }
 
   // An answer whose end is still to come.
@@ -366,7 +425,7 @@
     Enter(State::kWriting, patience().answer_taken);
     chunked_ = !length && !old_client_;
     // Only the connection's end can tell a client of HTTP/1.0 how long it is.
-    last_ |= uploading_ || owner_->stopping_ || owner_->drained_ || owner_->handed_over_ ||
+    last_ |= uploading_ || overrun_ || owner_->stopping_ || owner_->drained_ || owner_->handed_over_ ||
              (!length && old_client_);
     response.keep_alive(!last_);
     if (length) response.content_length(*length);
@@ -405,23 +464,17 @@
     Close();
   }
 
-  // Guards against a reset overtaking the answer: with unread input left, a plain close would send one.
-  void CloseGently() {
-    Enter(State::kDraining, patience().drained);
-    Error ignored;
-    socket_.shutdown(Tcp::socket::shutdown_send, ignored);
-    Drain();
-  }
-  void Drain() {
-    drain_.resize(kPiece);
-    socket_.async_read_some(asio::buffer(drain_),
-                            [self = shared_from_this()](const Error& failed, std::size_t n) {
-                              if (self->state_ != State::kDraining) return;
-                              self->drained_ += n;
-                              if (failed || self->drained_ > (self->uploading_ ? kMostBody : 4 * kMostWhole))
-                                return self->Close();
-                              self->Drain();
-                            });
+  // What a client says after the end is nobody's: it reads there that nothing more is answered.
+  void Discard() {
+    discard_.resize(kPiece);
+    socket_.async_read_some(
+        asio::buffer(discard_), [self = shared_from_this()](const Error& failed, std::size_t n) {
+          if (self->state_ != State::kLingering) return;
+          self->discarded_ += n;
+          if (failed || self->discarded_ > (self->uploading_ ? kMostBody : 4 * kMostWhole))
+            return self->Close();
+          self->Discard();
+        });
   }
 
   Clients* owner_;
@@ -429,9 +482,9 @@
   boost::beast::flat_buffer buffer_{kMostWhole + kMostHeader};
   std::optional<Parser> parser_;
   HttpResponse response_;
-  std::string kept_, out_;   // a request's body as far as it is held; what is being written of an answer
-  std::vector<char> drain_;  // not the buffer of a read that may not have heard yet that it is over
-  std::vector<char> piece_;  // of a body that is being read
+  std::string kept_, out_;     // a request's body as far as it is held; what is being written of an answer
+  std::vector<char> discard_;  // not the buffer of a read that may not have heard yet that it is over
+  std::vector<char> piece_;    // of a body that is being read
   std::shared_ptr<PieceSource> rest_;  // of the answer
   OnPiece on_piece_;                   // wants the next piece of the request's body
   std::size_t uploaded_ = 0, may_keep_ = 0;
@@ -440,11 +493,13 @@
   bool uploading_ = false;  // the request's body has not come whole
   bool chunked_ = false, old_client_ = false;
   RequestId request_ = 0;
-  std::size_t drained_ = 0, reserved_ = 0;
+  std::size_t discarded_ = 0, reserved_ = 0;
   State state_ = State::kWaiting;
-  Steady::time_point since_{}, until_{};  // of the state
-  bool asked_ = false;                    // has sent a whole request
-  bool last_ = false;                     // the connection closes after this answer
+  Steady::time_point since_{}, until_{};    // of the state
+  std::optional<Steady::time_point> came_;  // when what is in the buffer began to come, if not just now
+  bool overrun_ = false;                    // has sent more behind an open request than is kept
+  bool asked_ = false;                      // has sent a whole request
+  bool last_ = false;                       // the connection closes after this answer
 };
 
 Clients::Clients(asio::io_context& io, const Config& config, std::size_t most_connections,
@@ -467,6 +522,7 @@
     acceptor_.bind(config.listen);
     acceptor_.listen();
   }
+  acceptor_.non_blocking(true);
   Accept();
 }
 
@@ -477,30 +533,56 @@
 }
 
 void Clients::Accept() {
-  waiting_for_room_ = false;
   if (shut_ || handed_over_) return;
-  if (sessions_.size() >= most_connections_ && !MakeRoom()) {
-    waiting_for_room_ = true;  // the next connections wait in the kernel's queue
-    return;
-  }
-  acceptor_.async_accept([this](const Error& failed, Tcp::socket socket) {
-    if (failed == asio::error::operation_aborted) return;
-    // Guards against spinning when descriptors run out: the queue stays readable all the while.
-    if (failed) return AcceptLater();
+  waiting_for_room_ = false;
+  Error failed;
+  for (int n = 0; n < kAtOnce; ++n) {
+    if (sessions_.size() >= most_connections_ && !MakeRoom()) {
+      waiting_for_room_ = true;  // the next connections wait in the kernel's queue
+      if (!queued_since_) queued_since_ = Steady::now();
+      return;
+    }
+    Tcp::socket socket(io_);
+    acceptor_.accept(socket, failed);
+    if (failed) break;
     Begin(std::move(socket));
+  }
+  if (!failed) return AcceptSoon();
+  // Guards against spinning when descriptors run out: the queue stays readable all the while.
+  if (failed != asio::error::would_block && failed != asio::error::try_again) return AcceptLater();
+  queued_since_.reset();  // the queue is empty: who comes from here on is seen at once
+  AwaitClient();
+}
+
+// Not from within what a session does: accepting may end others.
+void Clients::AcceptSoon() {
+  if (std::exchange(accepting_soon_, true)) return;
+  asio::post(io_, [this, alive = std::weak_ptr<int>(alive_)] {
+    if (alive.expired()) return;
+    accepting_soon_ = false;
     Accept();
   });
 }
 
+void Clients::AwaitClient() {
+  if (std::exchange(awaiting_, true)) return;
+  acceptor_.async_wait(Tcp::acceptor::wait_read, [this](const Error& failed) {
+    if (failed == asio::error::operation_aborted) return;
+    awaiting_ = false;
+    failed ? AcceptLater() : Accept();
+  });
+}
+
 void Clients::Begin(Tcp::socket socket) {
   if (sessions_.empty()) Sweep();
   sessions_.push_back(std::make_shared<Session>(*this, std::move(socket)));
   const auto session = sessions_.back();
   session->place = std::prev(sessions_.end());
-  session->Start();
+  session->Start(queued_since_);
 }
 
 void Clients::AcceptLater() {
+  if (!queued_since_) queued_since_ = Steady::now();
   MakeRoom();
   pause_.expires_after(kPause);
   pause_.async_wait([this](const Error& cancelled) {
@@ -515,24 +597,24 @@
   return true;
 }
 
-// Gives up the connection that has stood idle for the longest; failing that, the oldest of those that never
-// said anything. Those that are fresh stay, since their request may be on its way.
+// Gives up, of the first of these kinds that there is, the one that has been so for the longest: a connection
+// that has had its last answer; one that has stood idle for long; one that never said anything; one that
+// rests; one whose request does not come whole. Those that are fresh stay, since their request may be on its
+// way.
 bool Clients::MakeRoom() {
   const auto now = Steady::now();
-  auto found = std::find_if(sessions_.begin(), sessions_.end(), [&](const auto& session) {
-    return session->SpareSince(now - config_.patience.spare);
-  });
-  if (found == sessions_.end()) {
-    found = std::find_if(sessions_.begin(), sessions_.end(), [&](const auto& session) {
-      return session->SilentSince(now - config_.patience.silent);
-    });
-  }
-  if (found == sessions_.end()) return false;
-  const auto session = *found;
-  const bool waiting = std::exchange(waiting_for_room_, false);  // whoever asks goes on by itself
-  session->Close();
-  waiting_for_room_ = waiting;
-  return true;
+  const auto& patience = config_.patience;
+  const auto give_up = [&](auto which) {
+    const auto found = std::find_if(sessions_.begin(), sessions_.end(), which);
+    if (found == sessions_.end()) return false;
+    const auto session = *found;
+    session->CloseNow();
+    return true;
+  };
+  return give_up([](const auto& s) { return s->Lingers(); }) ||
+         give_up([&](const auto& s) { return s->SpareSince(now - patience.spare); }) ||
+         give_up([&](const auto& s) { return s->IdleSince(now - patience.silent); }) ||
+         give_up([&](const auto& s) { return s->HalfReadSince(now - kBegun); });
 }
 
 // Ends what has taken too long, and makes room ahead of need.
@@ -545,52 +627,52 @@
     for (auto it = sessions_.begin(); it != sessions_.end();) {
       const auto session = *it++;
       if (drained_ && (session->SpareSince(now) || session->SilentSince(now - kFresh))) {
-        session->Close();
+        session->CloseLingering();
       } else if (sessions_.size() > mark && session->SpareSince(now - config_.patience.spare)) {
-        session->Close();
+        session->CloseLingering();
       } else {
         session->EndIfDue(now);
       }
     }
-    if (waiting_for_room_) Accept();
+    if (waiting_for_room_) AcceptSoon();
     if (!sessions_.empty()) Sweep();
   });
 }
 
 void Clients::Remove(Session* session) {
   sessions_.erase(session->place);
-  if (waiting_for_room_) Accept();
+  if (waiting_for_room_) AcceptSoon();
 }
 
 void Clients::Stop(Duration grace, std::function<void()> done) {
   if (stopping_) return;
   stopping_ = true;
   stopped_ = std::move(done);
-  if (handed_over_) CloseListener();  // the other process has it too: nothing that waits there is lost
+  if (handed_over_)
+    CloseListener(/*at_once=*/true);  // the other process has it too: nothing that waits there is lost
   grace_.expires_after(std::chrono::ceil<Steady::duration>(grace));
   grace_.async_wait([this](const Error& cancelled) {
     if (!cancelled) Shut();
   });
 }
 
-// What waits in the queue would be reset with it.
-void Clients::CloseListener() {
+// What waits in the queue would be reset with it: it is closed once the queue has been seen empty, or nobody
+// may be waited for any more.
+void Clients::CloseListener(bool at_once) {
   if (!acceptor_.is_open()) return;
   Error failed;
-  if (!handed_over_) {
-    acceptor_.non_blocking(true, failed);
-    while (!failed && sessions_.size() < most_connections_) {
-      Tcp::socket socket(io_);
-      acceptor_.accept(socket, failed);
-      if (!failed) Begin(std::move(socket));
-    }
+  while (!handed_over_ && !failed && (sessions_.size() < most_connections_ || MakeRoom())) {
+    Tcp::socket socket(io_);
+    acceptor_.accept(socket, failed);
+    if (!failed) Begin(std::move(socket));
   }
-  acceptor_.close(failed);
+  if (handed_over_ || failed || at_once) acceptor_.close(failed);
 }
 
 std::optional<int> Clients::HandOver() {
   if (!acceptor_.is_open() || shut_ || handed_over_) return std::nullopt;
   handed_over_ = true;
+  awaiting_ = false;
   Error ignored;
   acceptor_.cancel(ignored);
   pause_.cancel();
@@ -599,12 +681,12 @@
 
 void Clients::TakeBack() {
   if (!std::exchange(handed_over_, false) || !acceptor_.is_open()) return;
-  if (!waiting_for_room_) Accept();
+  AcceptSoon();
 }
 
 void Clients::SetLimit(std::size_t connections) {
   most_connections_ = connections;
-  if (waiting_for_room_) Accept();
+  if (waiting_for_room_) AcceptSoon();
 }
 
 void Clients::Drain(bool drained) {
@@ -613,24 +695,27 @@
   const auto now = Steady::now();
   for (auto it = sessions_.begin(); it != sessions_.end();) {
     const auto session = *it++;
-    if (session->SpareSince(now)) session->Close();
+    if (session->SpareSince(now)) session->CloseLingering();
   }
 }
 
-// Looks again until no answer is owed and no request is half read.
+// Looks again until no answer is owed, no request is half read, and every client has seen its connection's
+// end.
 void Clients::Shut() {
-  if (!std::exchange(shut_, true)) {
-    CloseListener();
-    half_read_until_ = Steady::now() + kHalfRead;
-  }
-  bool wait = false;
+  const auto now = Steady::now();
+  if (!std::exchange(shut_, true)) half_read_until_ = now + kHalfRead;
+  const bool late = now >= half_read_until_;
+  CloseListener(late);
+  bool wait = acceptor_.is_open();
   for (auto it = sessions_.begin(); it != sessions_.end();) {
     const auto session = *it++;
-    if (session->Idle()) {
-      session->Close();
-    } else {
-      wait |= session->Owes() || (session->Reading() && Steady::now() < half_read_until_);
+    // One that has just been accepted may be about to ask.
+    if (session->Idle() && (late || !session->SilentSince(now) || session->SilentSince(now - kFresh))) {
+      session->CloseLingering();
+    } else if (session->Reading() && late) {
+      session->CloseLingering();
     }
+    wait |= session->Owes() || session->Reading();
   }
   if (!wait) return stopped_();
   grace_.expires_after(kLookAgain);
--- a/src/proxy/data/clients.h
+++ b/src/proxy/data/clients.h
@@ -77,6 +77,8 @@
   friend class Session;
 
   void Accept();
+  void AcceptSoon();
+  void AwaitClient();
   void Begin(boost::asio::ip::tcp::socket socket);
   void AcceptLater();
   bool MakeRoom();
@@ -84,7 +86,7 @@
   void Sweep();
   void Remove(Session* session);
   void Shut();
-  void CloseListener();
+  void CloseListener(bool at_once);
 
   boost::asio::io_context& io_;
   const Config& config_;
@@ -93,7 +95,10 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_, grace_, sweep_;
   std::list<std::shared_ptr<Session>> sessions_;  // in the order of their last change of state
-  bool waiting_for_room_ = false, stopping_ = false, shut_ = false, drained_ = false, handed_over_ = false;
+  bool waiting_for_room_ = false, awaiting_ = false, accepting_soon_ = false;
+  std::optional<Steady::time_point> queued_since_;  // until the queue has been seen empty again
+  std::shared_ptr<int> alive_ = std::make_shared<int>();
+  bool stopping_ = false, shut_ = false, drained_ = false, handed_over_ = false;
   std::function<void()> stopped_;
   Steady::time_point half_read_until_{};
 };
--- a/src/proxy/discovery/discovery.cpp
+++ b/src/proxy/discovery/discovery.cpp
@@ -14,6 +14,8 @@
 #include <utility>
 
 #include "log/log.h"
+#include "proxy/clock.h"
+#include "proxy/discovery/messages.h"
 
 namespace copperpoint::proxy {
 namespace {
@@ -23,7 +25,8 @@
 namespace http = beast::http;
 using Error = boost::system::error_code;
 
-constexpr std::size_t kMostLine = 8 * 1024 * 1024;
+constexpr std::size_t kMostMessage = 8 * 1024 * 1024;
+constexpr std::size_t kLeastRate = 500;  // bytes a millisecond of a list that is longer than most
 constexpr std::chrono::milliseconds kLeastBackoff{50}, kMostBackoff{1000};
 
 }  // namespace
@@ -35,7 +38,7 @@
       : owner_(&owner), address_(address), whole_list_(whole_list_first), stream_(owner.io_) {}
 
   void Start() {
-    Extend();
+    stream_.expires_after(owner_->options_.connect_timeout);
     stream_.async_connect(address_, [self = shared_from_this()](const Error& failed) {
       if (!self->owner_) return;
       if (failed) return self->End(failed.message());
@@ -49,7 +52,15 @@
   }
 
  private:
-  void Extend() { stream_.expires_after(owner_->options_.silence); }
+  // Only what is whole is a sign of life: a trickle of bytes must not keep a watch that tells nothing.
+  void Extend() {
+    alive_at_ = Steady::now();
+    unfinished_ = 0;
+  }
+  void ExpectMore() {
+    stream_.expires_at(alive_at_ + owner_->options_.silence +
+                       std::chrono::milliseconds(unfinished_ / kLeastRate));
+  }
 
   void End(const std::string& why) {
     if (Discovery* owner = std::exchange(owner_, nullptr)) {
@@ -64,6 +75,8 @@
     const std::string from = std::to_string(owner_->options_.revision);
     request_.target(whole_list_ ? "/v1/endpoints" : "/v1/endpoints?stream=1&index=" + from);
     request_.set(http::field::host, address_.address().to_string());
+    Extend();
+    ExpectMore();
     http::async_write(stream_, request_, [self = shared_from_this()](const Error& failed, std::size_t) {
       if (!self->owner_) return;
       if (failed) return self->End(failed.message());
@@ -85,25 +98,32 @@
   }
 
   void ReadSome() {
-    if (parser_->is_done()) return whole_list_ ? TakeWholeList() : End("the watch ended");
+    if (parser_->is_done()) return whole_list_ ? TakeWholeList() : EndOfWatch("the watch ended");
     parser_->get().body().data = piece_.data();
     parser_->get().body().size = piece_.size();
-    Extend();  // its heartbeat is data too
+    ExpectMore();
     http::async_read_some(stream_, buffer_, *parser_, [self = shared_from_this()](Error failed, std::size_t) {
       if (!self->owner_) return;
       if (failed == http::error::need_buffer) failed = {};
       const std::size_t got = self->piece_.size() - self->parser_->get().body().size;
       if (!self->Take({self->piece_.data(), got})) return;
-      if (failed) return self->End(failed.message());
+      if (failed) return self->EndOfWatch(failed.message());
       self->ReadSome();
     });
   }
 
+  // What came whole was told, also if its line end did not come any more.
+  void EndOfWatch(const std::string& why) {
+    std::string last;
+    if (!whole_list_ && messages_.TakeLast(&last)) owner_->OnMessage(this, last);
+    End(why);
+  }
+
   // The list came as one answer; the watch goes on from it, on the same connection if that stays open.
   void TakeWholeList() {
     const bool open = parser_->keep_alive();
-    const std::string list = std::exchange(line_, {});
-    if (!owner_->OnLine(this, list)) return End("a garbled list");
+    const std::string list = std::exchange(whole_, {});
+    if (!owner_->OnMessage(this, list)) return End("a garbled list");
     whole_list_ = false;
     if (open) return Ask();
     stream_.close();
@@ -113,19 +133,31 @@
 
   // False when the watch is over.
   bool Take(std::string_view piece) {
-    line_ += piece;
-    std::size_t from = whole_list_ ? line_.size() : 0;  // a whole list may hold line ends
-    for (std::size_t end; (end = line_.find('\n', from)) != std::string::npos; from = end + 1) {
-      const bool good = owner_->OnLine(this, std::string_view(line_).substr(from, end - from));
-      if (!owner_) return false;
-      if (!good) {
-        End("a garbled line");
-        return false;
+    unfinished_ += piece.size();
+    if (whole_list_) {
+      whole_ += piece;
+      return whole_.size() <= kMostMessage || EndWith("a list without end");
+    }
+    messages_.Add(piece);
+    std::string message;
+    for (;;) {
+      const Messages::Next next = messages_.Take(&message);
+      if (next == Messages::Next::kMore) break;
+      if (next == Messages::Next::kGarbled) {
+        owner_->Garbled("no list");
+        return EndWith("a garbled message");
       }
+      Extend();
+      if (next == Messages::Next::kEmptyLine) continue;
+      const bool good = owner_->OnMessage(this, message);
+      if (!owner_) return false;
+      if (!good) return EndWith("a garbled message");
     }
-    if (!whole_list_) line_.erase(0, from);
-    if (line_.size() <= kMostLine) return true;
-    End("a line without end");
+    return messages_.size() <= kMostMessage || EndWith("a message without end");
+  }
+
+  bool EndWith(const char* why) {
+    End(why);
     return false;
   }
 
@@ -137,7 +169,10 @@
   http::request<http::empty_body> request_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
   std::array<char, 16384> piece_;
-  std::string line_;
+  std::string whole_;  // the whole list, as far as it has come
+  Messages messages_;  // of the watch
+  Steady::time_point alive_at_{};
+  std::size_t unfinished_ = 0;  // bytes since then
 };
 
 Discovery::Discovery(asio::io_context& io, Options options, OnList on_list, OnFailure on_failure)
@@ -179,12 +214,15 @@
   next_->Start();
 }
 
-bool Discovery::OnLine(Stream* from, std::string_view line) {
-  if (line.find_first_not_of(" \r\t\n") == std::string_view::npos) return from != next_.get();
+void Discovery::Garbled(const std::string& why) {
+  log::Global().Warn("discovery_garbled", {{"reason", why}});
+}
+
+bool Discovery::OnMessage(Stream* from, std::string_view message) {
   std::string why;
-  const auto list = ParseMembers(line, &why);
+  const auto list = ParseMembers(message, &why);
   if (!list) {
-    log::Global().Warn("discovery_garbled", {{"reason", why}});
+    Garbled(why);
     return false;
   }
   if (from == next_.get()) {
--- a/src/proxy/discovery/discovery.h
+++ b/src/proxy/discovery/discovery.h
@@ -26,7 +26,10 @@
     boost::asio::ip::tcp::endpoint address;
     std::uint64_t revision = 0;  // of the list that is known already
     Reconnect reconnect = Reconnect::kByItself;
-    std::chrono::milliseconds silence{4500};  // two of its heartbeats, and some
+    // A watch that has fallen silent and the dial after it, or two dials that come to nothing, together must
+    // stay under the 6 s after which a change counts as told; after a move there are 4 s.
+    std::chrono::milliseconds silence{3000};  // without a whole message: one heartbeat and a half
+    std::chrono::milliseconds connect_timeout{1000};
     std::uint64_t seed = 0;
   };
 
@@ -49,7 +52,8 @@
   friend class Stream;
 
   void StartMove();
-  bool OnLine(Stream* from, std::string_view line);
+  bool OnMessage(Stream* from, std::string_view message);  // false: it is garbled
+  void Garbled(const std::string& why);
   void OnEnd(Stream* from, const std::string& why);
   void RetryLater();
 
--- /dev/null
+++ b/src/proxy/discovery/messages.cpp
@@ -0,0 +1,52 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "proxy/discovery/messages.h"
+
+namespace copperpoint::proxy {
+
+Messages::Next Messages::Take(std::string* message) {
+  for (; at_ < text_.size(); ++at_) {
+    const char c = text_[at_];
+    if (in_string_) {
+      if (c == '\n') return Next::kGarbled;  // no JSON string holds one: the message was cut off
+      if (escaped_) {
+        escaped_ = false;
+      } else if (c == '\\') {
+        escaped_ = true;
+      } else if (c == '"') {
+        in_string_ = false;
+      }
+      continue;
+    }
+    if (c == '\n') {
+      if (begun_ && depth_ == 0) return Cut(Next::kMessage, message);
+      if (!begun_) return Cut(Next::kEmptyLine, message);
+      if (line_empty_) return Next::kGarbled;  // a heartbeat within a message: the rest of that will not come
+      line_empty_ = true;
+      continue;
+    }
+    if (c == ' ' || c == '\t' || c == '\r') continue;
+    line_empty_ = false;
+    if (depth_ == 0 && (begun_ || c != '{')) return Next::kGarbled;
+    if (c == '"') in_string_ = true;
+    if (c == '{' || c == '[') begun_ = true, ++depth_;
+    if (c == '}' || c == ']') --depth_;
+  }
+  return Next::kMore;
+}
+
+bool Messages::TakeLast(std::string* message) {
+  if (!begun_ || depth_ > 0 || in_string_ || at_ < text_.size()) return false;
+  Cut(Next::kMessage, message);
+  return true;
+}
+
+Messages::Next Messages::Cut(Next what, std::string* message) {
+  if (what == Next::kMessage) *message = text_.substr(0, at_);
+  text_.erase(0, at_ + 1);
+  at_ = 0;
+  begun_ = false;
+  line_empty_ = true;
+  return what;
+}
+
+}  // namespace copperpoint::proxy
--- /dev/null
+++ b/src/proxy/discovery/messages.h
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Cuts what comes on a watch into messages: one JSON object each, ended by a line end, and empty lines
+// between them. An object may be spread over many lines.
+#ifndef COPPERPOINT_PROXY_DISCOVERY_MESSAGES_H_
+#define COPPERPOINT_PROXY_DISCOVERY_MESSAGES_H_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace copperpoint::proxy {
+
+class Messages {
+ public:
+  enum class Next { kMore, kEmptyLine, kMessage, kGarbled };
+
+  void Add(std::string_view bytes) { text_ += bytes; }
+
+  // What comes next; `message` is set for kMessage. kMore: nothing until more is added.
+  Next Take(std::string* message);
+
+  // At the end of the watch: true, and the last message, if only its line end is missing.
+  bool TakeLast(std::string* message);
+
+  std::size_t size() const { return text_.size(); }  // of what is not taken yet
+
+ private:
+  Next Cut(Next what, std::string* message);
+
+  std::string text_;
+  std::size_t at_ = 0;  // looked at as far as here
+  std::size_t depth_ = 0;
+  bool begun_ = false, in_string_ = false, escaped_ = false;
+  bool line_empty_ = true;  // so far
+};
+
+}  // namespace copperpoint::proxy
+
+#endif  // COPPERPOINT_PROXY_DISCOVERY_MESSAGES_H_
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <exception>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <unordered_set>
@@ -322,10 +323,32 @@
     events_.pop_front();
     actions.clear();
     balancer_.Handle(clock_.Now(), next, &actions);
-    for (const Action& action : actions) std::visit([this](const auto& a) { Do(a); }, action);
+    for (const Action& action : actions) {
+      // What goes wrong with one action costs what that was about, not the answers that the others are.
+      try {
+        std::visit([this](const auto& a) { Do(a); }, action);
+      } catch (const std::exception& error) {
+        log::Global().Error("action_failed", {{"error", error.what()}});
+        if (const auto* sent = std::get_if<Dispatch>(&action)) OnNotSent(*sent);
+      }
+    }
   }
 }
 
+// The module waits for the end of what it has sent.
+void Proxy::OnNotSent(const Dispatch& action) {
+  const auto found = pending_.find(action.request);
+  if (found == pending_.end()) return;
+  found->second.attempt_out = false;
+  AttemptEnded end;
+  end.request = action.request;
+  end.attempt = found->second.attempts - 1;
+  end.server = action.server;
+  end.settled = !found->second.responder;
+  end.outcome = Outcome::kMoot;
+  events_.push_back(end);
+}
+
 void Proxy::OnList(const MemberList& list, ListKind kind) {
   PassOn(disabled_.Pass(list, kind != ListKind::kDelta), kind);
   listed_ |= !list.members.empty();
@@ -439,6 +462,9 @@
 
 void Proxy::OnClientGone(RequestId request) {
   if (!Conclude(request, End::kClientGone)) return;
+  // Nothing begins for a client that has gone: an attempt that is still being dialled is not written.
+  if (const auto found = pending_.find(request); found != pending_.end() && found->second.attempt_out)
+    backends_->AbortUnsent(found->second.attempt);
   ForgetIfOver(request);
   Feed(ClientGone{request});
 }
@@ -466,7 +492,7 @@
                                        {"work_ms", pending.work_ms}});
   Duration timeout = pending.due - now;
   if (action.timeout.count() != 0) timeout = std::clamp(action.timeout, Duration(0), timeout);
-  backends_->Send(
+  pending.attempt = backends_->Send(
       action.server, pending.message, timeout,
       [this, id = action.request, attempt, server = action.server, now](AttemptResult result) {
         OnAttemptDone(id, attempt, server, now, std::move(result));
@@ -513,7 +539,8 @@
     }
   } else if (found != pending_.end() && found->second.upload && found->second.upload->consumed) {
     // Some of the body has left for good: there is no other attempt.
-    const bool ran = result.outcome != Outcome::kConnectFailed && result.outcome != Outcome::kFull;
+    const bool ran = result.outcome != Outcome::kConnectFailed && result.outcome != Outcome::kFull &&
+                     result.outcome != Outcome::kMoot;
     if (const auto responder = Conclude(request, ran ? End::kFailed : End::kRefused, "body_has_left"))
       ran ? responder->Failed() : responder->Refused(config_.shares.refusal);
   }
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -78,6 +78,7 @@
     std::shared_ptr<Responder> responder;  // null once answered
     int attempts = 0;
     bool attempt_out = false;
+    Backends::Ticket attempt;  // the one that is out
   };
 
   void Feed(Event event);
@@ -107,6 +108,7 @@
   void Do(const struct CloseIdle& action);
   void Do(const Log& action);
 
+  void OnNotSent(const Dispatch& action);
   void OnAttemptDone(RequestId request, int attempt, ServerId server, Steady::time_point sent,
                      AttemptResult result);
   std::shared_ptr<Responder> Conclude(RequestId request, End end, const char* why = "");
