Tests that force the narrow moments: attempts, clients that leave, closings, watches

Seen while writing them: an answer that throws left its request held for ever, as the action's rest was skipped (Do(Refuse) in proxy.cpp); OnAttemptDone lost the module its AttemptEnded in the same way.

Site moved from proxy_test.cpp to loopback.h, unchanged.

--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -522,33 +522,43 @@
   }
 #endif
   if (result.outcome == Outcome::kOk) {
-    if (const auto responder = Conclude(request, End::kServed)) {
-      responder->Served(std::move(result.response), std::move(result.rest), result.length);
-    }
+    Give(Conclude(request, End::kServed), [&](Responder& to) {
+      to.Served(std::move(result.response), std::move(result.rest), result.length);
+    });
   } else if (result.outcome == Outcome::kUnknown) {
-    if (const auto responder = Conclude(request, End::kRejected))
-      responder->Rejected(result.response.result());
+    Give(Conclude(request, End::kRejected), [&](Responder& to) { to.Rejected(result.response.result()); });
   } else if (result.local) {
     // Over a limit of this process: no backend is to blame, and another attempt would fare no better.
-    if (const auto responder = Conclude(request, attempt == 0 ? End::kRefused : End::kFailed, "own_limit")) {
-      if (attempt == 0) {
-        responder->Refused(config_.shares.refusal);
-      } else {
-        responder->Failed();
-      }
-    }
+    const bool began = attempt > 0;
+    Give(Conclude(request, began ? End::kFailed : End::kRefused, "own_limit"),
+         [&](Responder& to) { began ? to.Failed() : to.Refused(config_.shares.refusal); });
   } else if (found != pending_.end() && found->second.upload && found->second.upload->consumed) {
     // Some of the body has left for good: there is no other attempt.
     const bool ran = result.outcome != Outcome::kConnectFailed && result.outcome != Outcome::kFull &&
                      result.outcome != Outcome::kMoot;
-    if (const auto responder = Conclude(request, ran ? End::kFailed : End::kRefused, "body_has_left"))
-      ran ? responder->Failed() : responder->Refused(config_.shares.refusal);
+    Give(Conclude(request, ran ? End::kFailed : End::kRefused, "body_has_left"),
+         [&](Responder& to) { ran ? to.Failed() : to.Refused(config_.shares.refusal); });
   }
   end.settled = found == pending_.end() || !found->second.responder;
   ForgetIfOver(request);
   Feed(end);
 }
 
+// What goes wrong while an answer is given costs that answer; what the module waits for goes on.
+template <typename Answer>
+void Proxy::Give(const std::shared_ptr<Responder>& responder, Answer answer) {
+  if (!responder) return;
+  try {
+    answer(*responder);
+  } catch (const std::exception& error) {
+    log::Global().Error("answer_failed", {{"error", error.what()}});
+    try {
+      responder->Failed();  // nothing, if the answer has begun
+    } catch (const std::exception&) {
+    }
+  }
+}
+
 // Ends the request: whoever gets the responder gives the one final answer. One line each, for who counts
 // across a fleet.
 std::shared_ptr<Responder> Proxy::Conclude(RequestId request, End end, const char* why) {
@@ -579,13 +589,13 @@
 }
 
 void Proxy::Do(const Refuse& action) {
-  if (const auto responder = Conclude(action.request, End::kRefused, action.why))
-    responder->Refused(action.retry_after);
+  Give(Conclude(action.request, End::kRefused, action.why),
+       [&](Responder& to) { to.Refused(action.retry_after); });
   ForgetIfOver(action.request);
 }
 
 void Proxy::Do(const Fail& action) {
-  if (const auto responder = Conclude(action.request, End::kFailed, action.why)) responder->Failed();
+  Give(Conclude(action.request, End::kFailed, action.why), [](Responder& to) { to.Failed(); });
   ForgetIfOver(action.request);
 }
 
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -111,6 +111,8 @@
   void OnNotSent(const Dispatch& action);
   void OnAttemptDone(RequestId request, int attempt, ServerId server, Steady::time_point sent,
                      AttemptResult result);
+  template <typename Answer>
+  void Give(const std::shared_ptr<Responder>& responder, Answer answer);
   std::shared_ptr<Responder> Conclude(RequestId request, End end, const char* why = "");
   void ForgetIfOver(RequestId request);
   void ArmTimer();
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -345,14 +345,19 @@
     asio::post(io_, [&] { answer.set_value(f(*proxy_)); });
     return answer.get_future().get();
   }
-  bool WaitUntilNothingIsHeld() {
+  // Asks until it is so.
+  template <typename F>
+  bool WaitUntil(F is_so) {
     const auto until = std::chrono::steady_clock::now() + kGiveUp;
-    while (Ask([](proxy::Proxy& p) { return p.held(); }) != 0) {
+    while (!Ask(is_so)) {
       if (std::chrono::steady_clock::now() > until) return false;
       std::this_thread::yield();
     }
     return true;
   }
+  bool WaitUntilNothingIsHeld() {
+    return WaitUntil([](proxy::Proxy& p) { return p.held() == 0; });
+  }
 
  private:
   asio::io_context io_;
@@ -363,6 +368,24 @@
   Tcp::endpoint address;
 };
 
+struct Site {
+  // A test that is about a time limit sets it; to all others a slow machine is none.
+  explicit Site(std::vector<nlohmann::json> known)
+      : config(ConfigJson(discovery.address(), std::move(known))) {
+    patience.whole_request = patience.answer_whole = std::chrono::minutes(1);
+  }
+  void Start() {
+    proxy::Config all = ConfigOf(config);
+    all.patience = patience;
+    proxy = std::make_unique<RunningProxy>(std::move(all));
+  }
+
+  FakeDiscovery discovery;
+  nlohmann::json config;
+  proxy::Patience patience;
+  std::unique_ptr<RunningProxy> proxy;
+};
+
 class Client {
  public:
   explicit Client(const Tcp::endpoint& proxy) : socket(io_) { socket.connect(proxy); }
@@ -408,6 +431,8 @@
 inline std::string Change() { return Post("change", "Idempotency-Key: 7e\r\n"); }
 inline std::string Book() { return Post("book"); }
 
+inline std::string Numbered(std::string name, std::size_t n) { return name.append(std::to_string(n)); }
+
 // The same under another Req-Id.
 inline std::string WithId(std::string request, const std::string& id) {
   const std::size_t from = request.find("Req-Id: ") + 8;
--- /dev/null
+++ b/tests/proxy/client_gone_test.cpp
@@ -0,0 +1,231 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Clients that leave: nothing begins for them, whatever they had sent and wherever their request stood.
+#include <gtest/gtest.h>
+
+#include "scripted.h"
+
+namespace copperpoint::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kFewSockets = 64;  // of these (64 - 24) * 0.6 are for clients
+constexpr std::size_t kFewClients = 24;
+
+// One backend that never comes up, and dials that are waited for as long as a test may take.
+struct HeldSite : Site {
+  explicit HeldSite(const HeldDial& dial) : Site(Members(MemberJson("s-1", dial.address()))) {
+    config["settings"]["permissions"]["connectTimeoutMs"] = 600000.0;
+    Start();
+  }
+  bool Dialling() {
+    return proxy->WaitUntil([](proxy::Proxy& p) { return p.backend_connections() == 1; });
+  }
+  // The client's end has been seen, and the attempt for it has ended with it.
+  bool AllForgotten() {
+    return proxy->WaitUntil([](proxy::Proxy& p) {
+      return p.client_connections() == 0 && p.held() == 0 && p.backend_connections() == 0;
+    });
+  }
+};
+
+TEST(ClientGone, AnAttemptThatIsBeingDialledEndsWithIt) {
+  HeldDial dial;
+  HeldSite site(dial);
+  {
+    Client client(site.proxy->address);
+    client.Send(Book());
+    ASSERT_TRUE(site.Dialling());
+  }
+  EXPECT_TRUE(site.AllForgotten());
+}
+
+TEST(ClientGone, IsSeenBehindANextRequest) {
+  HeldDial dial;
+  HeldSite site(dial);
+  {
+    Client client(site.proxy->address);
+    client.Send(Book() + WithId(Book(), "next"));
+    ASSERT_TRUE(site.Dialling());
+  }
+  EXPECT_TRUE(site.AllForgotten());
+}
+
+TEST(ClientGone, IsSeenBehindAFlood) {
+  HeldDial dial;
+  HeldSite site(dial);
+  {
+    Client client(site.proxy->address);
+    client.Send(Book());
+    ASSERT_TRUE(site.Dialling());
+    client.Send(std::string(2 * 1024 * 1024, 'x'));
+  }
+  EXPECT_TRUE(site.AllForgotten());
+}
+
+TEST(ClientGone, ByAResetIsSeenToo) {
+  HeldDial dial;
+  HeldSite site(dial);
+  Client client(site.proxy->address);
+  client.Send(Book() + WithId(Book(), "next"));
+  ASSERT_TRUE(site.Dialling());
+  CloseByReset(client.socket);
+  EXPECT_TRUE(site.AllForgotten());
+}
+
+TEST(ClientGone, ManyAtOnceAreAllForgotten) {
+  HeldDial dial;
+  HeldSite site(dial);
+  {
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int i = 0; i < 100; ++i) {
+      clients.push_back(std::make_unique<Client>(site.proxy->address));
+      clients.back()->Send(WithId(Book(), Numbered("r", i)));
+    }
+    ASSERT_TRUE(site.Dialling() || site.proxy->Ask([](proxy::Proxy& p) { return p.held() > 0; }));
+  }
+  EXPECT_TRUE(site.AllForgotten());
+}
+
+TEST(ClientGone, OneThatFloodsBehindItsRequestGetsItsAnswerAndTheEnd) {
+  Watched<bool> release;
+  Backend backend([&](Tcp::socket& s, const HttpRequest&) {
+    release.WaitFor([](bool r) { return r; });
+    SendRaw(s, OkAnswer("served"));
+    return true;
+  });
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.Start();
+  Client client(site.proxy->address);
+  client.Send(Book());
+  ASSERT_TRUE(backend.WaitForRequests(1));
+  client.Send(std::string(1024 * 1024, 'x'));
+  release.Do([](bool& r) { r = true; });
+  const HttpResponse answer = client.Read();
+  EXPECT_EQ(answer.body(), "served");
+  EXPECT_FALSE(answer.keep_alive());
+  EXPECT_EQ(HearToTheEnd(client.socket).how, asio::error::eof);
+}
+
+// Many requests at once are answered in order, however they are cut.
+TEST(Pipelined, ManyAtOnceAreAnsweredInOrderWhereverTheyAreCut) {
+  Backend backend([](Tcp::socket& s, const HttpRequest& r) {
+    SendRaw(s, OkAnswer(std::string(r["Req-Id"])));
+    return true;
+  });
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.Start();
+  std::string all;
+  for (int i = 0; i < 40; ++i) all += WithId(i % 2 ? Look() : Book(), Numbered("p", i));
+  for (const std::size_t piece : {all.size(), std::size_t{7}, std::size_t{1000}}) {
+    Client client(site.proxy->address);
+    for (std::size_t at = 0; at < all.size(); at += piece) client.Send(all.substr(at, piece));
+    for (int i = 0; i < 40; ++i) EXPECT_EQ(client.Read().body(), Numbered("p", i));
+  }
+}
+
+// Holds all places for clients with requests that wait at a backend.
+struct FullSite {
+  FullSite()
+      : backend([this](Tcp::socket& s, const HttpRequest& r) {
+          if (r["Req-Kind"] == "book") release.WaitFor([](bool r) { return r; });
+          SendRaw(s, OkAnswer("served"));
+          return true;
+        }),
+        site(Members(MemberJson("s-1", backend.address()))) {
+    site.config["limits"]["sockets"] = kFewSockets;
+    site.Start();
+  }
+  bool Fill(std::size_t n = kFewClients) {
+    for (std::size_t i = 0; i < n; ++i) {
+      holders.push_back(std::make_unique<Client>(site.proxy->address));
+      holders.back()->Send(WithId(Book(), Numbered("h", i)));
+    }
+    return site.proxy->WaitUntil([n](proxy::Proxy& p) { return p.held() == n; });
+  }
+  void Release() {
+    release.Do([](bool& r) { r = true; });
+  }
+  std::vector<HttpRequest> Looks() {
+    std::vector<HttpRequest> looks;
+    for (const HttpRequest& r : backend.seen.Get().requests) {
+      if (r["Req-Kind"] == "look") looks.push_back(r);
+    }
+    return looks;
+  }
+
+  Watched<bool> release;
+  Backend backend;
+  Site site;
+  std::vector<std::unique_ptr<Client>> holders;
+};
+
+TEST(AcceptQueue, WhoLeftWhileItWaitedThereIsNotSentOn) {
+  FullSite full;
+  ASSERT_TRUE(full.Fill());
+  {
+    Client gone(full.site.proxy->address);
+    gone.Send(WithId(Look(), "gone"));
+  }
+  Client after(full.site.proxy->address);  // behind it in the queue
+  after.Send(WithId(Look(), "after"));
+  full.Release();
+  EXPECT_EQ(after.Read().body(), "served");
+  const auto looks = full.Looks();
+  ASSERT_EQ(looks.size(), 1u);
+  EXPECT_EQ(looks[0]["Req-Id"], "after");
+}
+
+TEST(AcceptQueue, TheTimeSpentThereIsNotToldToTheBackend) {
+  FullSite full;
+  ASSERT_TRUE(full.Fill());
+  Client late(full.site.proxy->address);
+  late.Send(Look("Req-Deadline-Ms: 30000\r\n"));
+  StandStill(milliseconds(400));
+  full.Release();
+  EXPECT_EQ(late.Read().body(), "served");
+  const auto looks = full.Looks();
+  ASSERT_EQ(looks.size(), 1u);
+  EXPECT_LE(std::stoi(std::string(looks[0]["Req-Deadline-Ms"])), 29600);
+}
+
+TEST(AcceptQueue, ALargeBodyThatWaitedThereIsWhole) {
+  FullSite full;
+  ASSERT_TRUE(full.Fill());
+  const std::string body(60 * 1024, 'z');
+  Client late(full.site.proxy->address);
+  late.Send(Post("change", "Idempotency-Key: 7e\r\n", body));
+  full.Release();
+  EXPECT_EQ(late.Read().body(), "served");
+  for (const HttpRequest& r : full.backend.seen.Get().requests) {
+    if (r["Req-Kind"] == "change") {
+      EXPECT_EQ(r.body(), body);
+    }
+  }
+}
+
+// Clients that rest, that never ask, or that never finish asking, hold all places; spare_ms is far away.
+TEST(AcceptQueue, WhoWaitsThereGetsThePlaceOfWhoRests) {
+  for (const std::string& first : {Look(), std::string(), std::string("GET /look HTTP/1.1\r\nReq-Id: ")}) {
+    Backend backend;
+    Site site(Members(MemberJson("s-1", backend.address())));
+    site.config["limits"]["sockets"] = kFewSockets;
+    site.patience.spare = std::chrono::minutes(10);
+    site.patience.silent = milliseconds(1);
+    site.Start();
+    std::vector<std::unique_ptr<Client>> resting;
+    for (std::size_t i = 0; i < 3 * kFewClients; ++i) {
+      resting.push_back(std::make_unique<Client>(site.proxy->address));
+      if (!first.empty()) resting.back()->Send(first);
+      if (first == Look()) {
+        EXPECT_EQ(resting.back()->Read().body(), "served") << i;
+      }
+    }
+    Client last(site.proxy->address);
+    EXPECT_EQ(last.Ask(WithId(Look(), "last")).body(), "served") << first;
+  }
+}
+
+}  // namespace
+}  // namespace copperpoint::testing
--- /dev/null
+++ b/tests/proxy/closing_test.cpp
@@ -0,0 +1,183 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Connections that the proxy ends while bytes are on their way, and its own end with requests in flight.
+#include <gtest/gtest.h>
+
+#include "scripted.h"
+
+namespace copperpoint::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A request that crosses the end of a resting connection is not sent on, nor is the connection reset: its
+// client reads the end, and so knows that it may send it once more.
+TEST(Closing, ARequestThatCrossesTheEndOfARestingConnectionReadsThatEnd) {
+  Backend backend;
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.patience.drained = std::chrono::minutes(10);
+  site.Start();
+  Client client(site.proxy->address);
+  EXPECT_EQ(client.Ask(Look()).body(), "served");
+  auto stopped = site.proxy->Stop();
+  EXPECT_TRUE(client.Ended());  // the proxy's half of it
+  client.Send(WithId(Book(), "crossing"));
+  client.Send(WithId(Book(), "another"));
+  client.socket.shutdown(Tcp::socket::shutdown_send);
+  EXPECT_EQ(HearToTheEnd(client.socket).how, asio::error::eof);
+  EXPECT_EQ(stopped.wait_for(kGiveUp), std::future_status::ready);
+  EXPECT_EQ(HearToTheEnd(client.socket).how, asio::error::eof) << "not a reset";
+  EXPECT_EQ(backend.seen.Get().requests.size(), 1u);
+}
+
+TEST(Closing, TheStopWaitsForClientsToSeeTheEndAndForNoLongerThanItMay) {
+  Backend backend;
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.patience.drained = std::chrono::minutes(10);
+  site.Start();
+  auto client = std::make_unique<Client>(site.proxy->address);
+  EXPECT_EQ(client->Ask(Look()).body(), "served");
+  auto stopped = site.proxy->Stop();
+  EXPECT_TRUE(client->Ended());
+  EXPECT_EQ(site.proxy->Ask([](proxy::Proxy& p) { return p.client_connections(); }), 1u);
+  EXPECT_NE(stopped.wait_for(milliseconds(0)), std::future_status::ready);
+  client.reset();
+  EXPECT_EQ(stopped.wait_for(kGiveUp), std::future_status::ready);
+
+  site.patience.drained = milliseconds(100);
+  site.Start();
+  Client stays(site.proxy->address);
+  EXPECT_EQ(stays.Ask(Look()).body(), "served");
+  EXPECT_EQ(site.proxy->Stop().wait_for(kGiveUp), std::future_status::ready);
+}
+
+TEST(Closing, WhatIsDrainedByStaffOrStandsIdleForTooLongIsNotReset) {
+  Backend backend;
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.patience.kept = milliseconds(50);
+  site.patience.drained = std::chrono::minutes(10);
+  site.Start();
+  Client kept(site.proxy->address);
+  EXPECT_EQ(kept.Ask(Look()).body(), "served");
+  EXPECT_TRUE(kept.Ended());
+  kept.Send(Book());
+  EXPECT_TRUE(site.proxy->WaitUntil([](proxy::Proxy& p) { return p.held() == 0; }));
+  kept.socket.shutdown(Tcp::socket::shutdown_send);
+  EXPECT_TRUE(site.proxy->WaitUntil([](proxy::Proxy& p) { return p.client_connections() == 0; }));
+  EXPECT_EQ(HearToTheEnd(kept.socket).how, asio::error::eof);
+
+  Client drained(site.proxy->address);
+  EXPECT_EQ(drained.Ask(Look()).body(), "served");
+  site.proxy->Ask([](proxy::Proxy& p) { return p.Drain(), 0; });
+  EXPECT_TRUE(drained.Ended());
+  drained.Send(Book());
+  drained.socket.shutdown(Tcp::socket::shutdown_send);
+  EXPECT_TRUE(site.proxy->WaitUntil([](proxy::Proxy& p) { return p.client_connections() == 0; }));
+  EXPECT_EQ(HearToTheEnd(drained.socket).how, asio::error::eof);
+  EXPECT_EQ(backend.seen.Get().requests.size(), 2u);
+}
+
+// The kernel has accepted them, so that they count as taken: at the connection limit too.
+TEST(Closing, WhoWaitsToBeAcceptedAtTheStopIsServed) {
+  Watched<bool> release;
+  Backend backend([&](Tcp::socket& s, const HttpRequest& r) {
+    if (r["Req-Kind"] == "book") release.WaitFor([](bool r) { return r; });
+    SendRaw(s, OkAnswer("served"));
+    return true;
+  });
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.config["limits"]["sockets"] = 64;  // 24 clients
+  site.Start();
+  std::vector<std::unique_ptr<Client>> holders, waiting;
+  for (int i = 0; i < 24; ++i) {
+    holders.push_back(std::make_unique<Client>(site.proxy->address));
+    holders.back()->Send(WithId(Book(), Numbered("h", i)));
+  }
+  ASSERT_TRUE(site.proxy->WaitUntil([](proxy::Proxy& p) { return p.held() == 24; }));
+  for (int i = 0; i < 12; ++i) {
+    waiting.push_back(std::make_unique<Client>(site.proxy->address));
+    waiting.back()->Send(WithId(Look(), Numbered("w", i)));
+  }
+  auto stopped = site.proxy->Stop();
+  // The listener is still there when the grace is over, as its queue has not been seen empty.
+  EXPECT_EQ(stopped.wait_for(milliseconds(900)), std::future_status::timeout);
+  release.Do([](bool& r) { r = true; });
+  for (const auto& client : waiting) EXPECT_EQ(client->Read().body(), "served");
+  for (const auto& client : holders) EXPECT_EQ(client->Read().body(), "served");
+  waiting.clear(), holders.clear();
+  EXPECT_EQ(stopped.wait_for(kGiveUp), std::future_status::ready);
+}
+
+// Half a request at the stop: what comes whole in time is served, and what does not reads the end.
+TEST(Closing, AHalfReadRequestAtTheStopIsServedIfTheRestComes) {
+  Backend backend;
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.Start();
+  const std::string request = Book();
+  Client first(site.proxy->address), second(site.proxy->address);
+  first.Send(request.substr(0, 30));
+  second.Send(request.substr(0, 30));
+  ASSERT_TRUE(site.proxy->WaitUntil([](proxy::Proxy& p) { return p.client_connections() == 2; }));
+  auto stopped = site.proxy->Stop();
+  EXPECT_EQ(stopped.wait_for(milliseconds(800)), std::future_status::timeout);
+  first.Send(request.substr(30));
+  EXPECT_EQ(first.Read().body(), "served");
+  EXPECT_TRUE(second.Ended());
+  second.Send(request.substr(30));
+  second.socket.shutdown(Tcp::socket::shutdown_send);
+  EXPECT_EQ(HearToTheEnd(second.socket).how, asio::error::eof);
+  EXPECT_EQ(stopped.wait_for(kGiveUp), std::future_status::ready);
+  EXPECT_EQ(backend.seen.Get().requests.size(), 1u);
+}
+
+// What goes wrong while one action is carried out does not cost the answers that others are.
+class Throws : public proxy::Responder {
+ public:
+  void Served(HttpResponse, std::shared_ptr<proxy::PieceSource>, std::optional<std::uint64_t>) override {
+    Fall();
+  }
+  void Refused(Duration) override { Fall(); }
+  void Failed() override { Fall(); }
+  void Rejected(http::status) override { Fall(); }
+
+ private:
+  static void Fall() { throw std::runtime_error("no memory"); }
+};
+class Notes : public Throws {
+ public:
+  explicit Notes(Watched<int>& refused) : refused_(refused) {}
+  void Refused(Duration) override {
+    refused_.Do([](int& n) { ++n; });
+  }
+
+ private:
+  Watched<int>& refused_;
+};
+
+TEST(Actions, OneThatThrowsDoesNotCostTheOthersTheirAnswers) {
+  Backend backend;
+  Site site({});  // without a list: all are held, and refused in one turn
+  site.Start();
+  Watched<int> refused;
+  site.proxy->Ask([&](proxy::Proxy& p) {
+    const auto due = proxy::Steady::now() + milliseconds(100);
+    for (int i = 0; i < 6; ++i) {
+      proxy::ClientRequest request;
+      request.message.method(http::verb::get);
+      request.message.target("/look");
+      request.message.set("Req-Id", Numbered("t", i));
+      request.due = due;
+      if (i % 2 == 0) {
+        p.OnRequest(std::move(request), std::make_shared<Throws>());
+      } else {
+        p.OnRequest(std::move(request), std::make_shared<Notes>(refused));
+      }
+    }
+    return 0;
+  });
+  EXPECT_TRUE(refused.WaitFor([](int n) { return n == 3; }));
+  EXPECT_TRUE(site.proxy->WaitUntilNothingIsHeld());
+}
+
+}  // namespace
+}  // namespace copperpoint::testing
--- /dev/null
+++ b/tests/proxy/watch_test.cpp
@@ -0,0 +1,317 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Watches of discovery: what a message is, what counts as life, and how soon a change is known whatever
+// failed.
+#include <gtest/gtest.h>
+
+#include <optional>
+
+#include "proxy/discovery/discovery.h"
+#include "proxy/discovery/messages.h"
+#include "scripted.h"
+
+namespace copperpoint::testing {
+namespace {
+
+using proxy::Messages;
+using std::chrono::milliseconds;
+
+std::string List(int revision, std::vector<nlohmann::json> members = {}, bool complete = true,
+                 int indent = -1) {
+  return ListJson(revision, complete, std::move(members)).dump(indent);
+}
+std::string Chunk(const std::string& text) {
+  char size[24];
+  std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+  return std::string(size).append(text).append("\r\n");
+}
+
+// ---- messages -------------------------------------------------------------------------------------------
+std::vector<std::string> Cut(const std::string& text, std::size_t piece, bool* garbled) {
+  Messages messages;
+  std::vector<std::string> all;
+  std::string message;
+  for (std::size_t at = 0; at < text.size(); at += piece) {
+    messages.Add(text.substr(at, piece));
+    for (Messages::Next next; (next = messages.Take(&message)) != Messages::Next::kMore;) {
+      if (next == Messages::Next::kMessage) all.push_back(message);
+      if (next == Messages::Next::kEmptyLine) all.push_back("");
+      if (next == Messages::Next::kGarbled) {
+        *garbled = true;
+        return all;
+      }
+    }
+  }
+  return all;
+}
+
+TEST(Messages, AreTheSameHoweverTheyAreIndentedAndWhereverTheyAreSplit) {
+  const auto member = MemberJson("s-{1}\"]", Tcp::endpoint(kAnyPort.address(), 80));
+  for (const int indent : {-1, 0, 1, 4}) {
+    const std::string one = List(42, {member}, true, indent), two = List(43, {member, member}, false, indent);
+    const std::string text = "\n" + one + "\n\r\n  " + two + " \r\n\n";
+    for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+      bool garbled = false;
+      const auto all = Cut(text, piece, &garbled);
+      ASSERT_FALSE(garbled) << indent << " " << piece;
+      ASSERT_EQ(all.size(), 5u);
+      EXPECT_EQ(nlohmann::json::parse(all[1]), nlohmann::json::parse(one));
+      EXPECT_EQ(nlohmann::json::parse(all[3]), nlohmann::json::parse(two));
+    }
+  }
+}
+
+TEST(Messages, GarbageIsSeenAsSoonAsItCanBe) {
+  for (const char* text : {"[]\n", "x", "{}}\n", "{} {}\n", "{\"a\n", "{\"members\":[\n\n", "{\n}\n]"}) {
+    bool garbled = false;
+    Cut(text, 1, &garbled);
+    EXPECT_TRUE(garbled) << text;
+  }
+}
+
+TEST(Messages, AtTheEndOnlyTheLineEndMayBeMissing) {
+  std::string message;
+  Messages whole;
+  whole.Add("{\"a\":\"\\\"}\"}  ");
+  EXPECT_EQ(whole.Take(&message), Messages::Next::kMore);
+  EXPECT_TRUE(whole.TakeLast(&message));
+  EXPECT_EQ(nlohmann::json::parse(message)["a"], "\"}");
+  for (const char* text : {"", "{\"a\":1", "{\"a", " "}) {
+    Messages half;
+    half.Add(text);
+    EXPECT_EQ(half.Take(&message), Messages::Next::kMore);
+    EXPECT_FALSE(half.TakeLast(&message)) << text;
+  }
+}
+
+// ---- watches over sockets --------------------------------------------------------------------------------
+// A discovery that plays a script for each connection, in turn; after the last it holds its connections open.
+class ScriptedDiscovery {
+ public:
+  using Script = std::function<void(Tcp::socket&)>;
+  explicit ScriptedDiscovery(std::vector<Script> scripts)
+      : scripts_(std::move(scripts)), listener_([this](Tcp::socket& s) { Serve(s); }) {}
+  ~ScriptedDiscovery() {
+    over.Do([](bool& o) { o = true; });
+    listener_.Stop();
+  }
+  Tcp::endpoint address() const { return listener_.address; }
+  bool WaitForCalls(std::size_t n) {
+    return calls.WaitFor([n](const auto& c) { return c.size() >= n; });
+  }
+  static void Open(Tcp::socket& s) { SendRaw(s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); }
+
+  Watched<std::vector<std::string>> calls;  // their targets
+  Watched<bool> over;
+
+ private:
+  void Serve(Tcp::socket& socket) {
+    boost::beast::flat_buffer buffer;
+    HttpRequest request;
+    error_code failed;
+    http::read(socket, buffer, request, failed);
+    if (failed) return;
+    std::size_t n = 0;
+    calls.Do([&](auto& c) { c.emplace_back(request.target()), n = c.size(); });
+    if (n <= scripts_.size()) return scripts_[n - 1](socket);
+    Open(socket);
+    over.WaitFor([](bool o) { return o; });
+  }
+
+  std::vector<Script> scripts_;
+  Listener listener_;
+};
+
+struct Watching {
+  explicit Watching(const Tcp::endpoint& address) { options.address = address; }
+  ~Watching() {
+    asio::post(io, [this] { discovery.reset(), io.stop(); });
+    if (loop.joinable()) loop.join();
+  }
+  void Start() {
+    discovery = std::make_unique<proxy::Discovery>(
+        io, options, [this](const proxy::MemberList& list) { lists.Do([&](auto& l) { l.push_back(list); }); },
+        [this] {
+          failures.Do([](int& n) { ++n; });
+          discovery->Watch();  // as the module asks for it
+        });
+    discovery->Watch();
+    loop = std::thread([this] { io.run(); });
+  }
+  bool WaitForLists(std::size_t n) {
+    return lists.WaitFor([n](const auto& l) { return l.size() >= n; });
+  }
+
+  asio::io_context io{1};
+  asio::executor_work_guard<asio::io_context::executor_type> work{io.get_executor()};
+  proxy::Discovery::Options options;
+  Watched<std::vector<proxy::MemberList>> lists;
+  Watched<int> failures;
+  std::unique_ptr<proxy::Discovery> discovery;
+  std::thread loop;
+};
+
+const auto kMember = [](const char* id, const char* phase = "in_service") {
+  return MemberJson(id, Tcp::endpoint(kAnyPort.address(), 80), phase);
+};
+
+TEST(WatchMessages, AnIndentedListOnAWatchIsTaken) {
+  ScriptedDiscovery fake({[](Tcp::socket& s) {
+    ScriptedDiscovery::Open(s);
+    for (const char byte : List(42, Members(kMember("s-1")), true, 2) + "\n")
+      SendRaw(s, Chunk(std::string(1, byte)));
+    SendRaw(s, Chunk("\n") + Chunk(List(43, Members(kMember("s-2")), false, 4) + "\n"));
+    HearToTheEnd(s);
+  }});
+  Watching watch(fake.address());
+  watch.Start();
+  ASSERT_TRUE(watch.WaitForLists(2));
+  EXPECT_EQ(watch.lists.Get()[1].members[0].id, "s-2");
+  EXPECT_EQ(fake.calls.Get().size(), 1u);
+}
+
+TEST(WatchMessages, TheLastLineOfAWatchThatEndsInTheSameSegmentIsTaken) {
+  for (const std::string& end : {std::string("\n"), std::string()}) {
+    for (const bool cleanly : {true, false}) {
+      ScriptedDiscovery fake({[&](Tcp::socket& s) {
+        SendRaw(s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                       Chunk(List(42, Members(kMember("s-1"))) + end) + (cleanly ? "0\r\n\r\n" : ""));
+      }});
+      Watching watch(fake.address());
+      watch.Start();
+      EXPECT_TRUE(watch.WaitForLists(1));
+      EXPECT_TRUE(fake.WaitForCalls(2));
+      EXPECT_EQ(fake.calls.Get()[1], "/v1/endpoints?stream=1&index=42");
+    }
+  }
+}
+
+TEST(WatchMessages, AnObjectFollowedByMoreOnItsLineIsNotTaken) {
+  ScriptedDiscovery fake({[](Tcp::socket& s) {
+    ScriptedDiscovery::Open(s);
+    SendRaw(s, Chunk(List(42) + "}\n"));
+    HearToTheEnd(s);
+  }});
+  Watching watch(fake.address());
+  watch.Start();
+  ASSERT_TRUE(fake.WaitForCalls(2));
+  EXPECT_TRUE(watch.lists.Get().empty());
+}
+
+// Bytes alone are no sign of life.
+TEST(WatchSilence, ATrickleWithoutAWholeMessageEndsTheWatch) {
+  ScriptedDiscovery fake({[](Tcp::socket& s) {
+    ScriptedDiscovery::Open(s);
+    SendRaw(s, Chunk("{\"revision\":42,"));
+    error_code failed;
+    while (!failed) {
+      asio::write(s, asio::buffer(Chunk(" ")), failed);
+      StandStill(milliseconds(5));
+    }
+  }});
+  Watching watch(fake.address());
+  watch.options.silence = milliseconds(200);
+  watch.Start();
+  EXPECT_TRUE(fake.WaitForCalls(2));
+}
+
+TEST(WatchSilence, ALongListThatKeepsComingIsWaitedFor) {
+  std::vector<nlohmann::json> members;
+  for (int i = 0; i < 8000; ++i) members.push_back(kMember((Numbered("s-", i)).c_str()));
+  const std::string list = List(42, members);
+  ScriptedDiscovery fake({[&](Tcp::socket& s) {
+    ScriptedDiscovery::Open(s);
+    const std::size_t piece = list.size() / 8 + 1;
+    for (std::size_t at = 0; at < list.size(); at += piece) {
+      SendRaw(s, Chunk(list.substr(at, piece)));
+      StandStill(milliseconds(100));
+    }
+    SendRaw(s, Chunk("\n"));
+    HearToTheEnd(s);
+  }});
+  Watching watch(fake.address());
+  watch.options.silence = milliseconds(700);
+  watch.Start();
+  ASSERT_TRUE(watch.WaitForLists(1));
+  EXPECT_EQ(watch.lists.Get()[0].members.size(), 8000u);
+}
+
+TEST(WatchSilence, ADialThatHangsIsGivenUpBeforeASilentWatchIs) {
+  HeldDial held;
+  Watching watch(held.address());
+  watch.options.reconnect = proxy::Discovery::Reconnect::kWhenAsked;
+  watch.options.silence = std::chrono::minutes(10);
+  watch.options.connect_timeout = milliseconds(50);
+  watch.Start();
+  EXPECT_TRUE(watch.failures.WaitFor([](int n) { return n >= 2; }));
+}
+
+// The bound, by the real times: a watch falls silent, the dial after it hangs, the call after that gets 503,
+// and the change that was made when it fell silent is here within 6 s of that.
+TEST(WatchBound, AChangeIsKnownSixSecondsAfterTheWatchFellSilentWhateverFailedInBetween) {
+  for (const auto reconnect :
+       {proxy::Discovery::Reconnect::kByItself, proxy::Discovery::Reconnect::kWhenAsked}) {
+    Watched<std::chrono::steady_clock::time_point> silent_since;
+    ScriptedDiscovery fake(
+        {[&](Tcp::socket& s) {
+           ScriptedDiscovery::Open(s);
+           SendRaw(s, Chunk("\n"));
+           silent_since.Do([](auto& t) { t = std::chrono::steady_clock::now(); });
+           HearToTheEnd(s);
+         },
+         [](Tcp::socket& s) { SendRaw(s, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"); },
+         [](Tcp::socket& s) {
+           ScriptedDiscovery::Open(s);
+           SendRaw(s, Chunk(List(42, Members(kMember("s-1", "terminating")), false) + "\n"));
+           HearToTheEnd(s);
+         }});
+    Watching watch(fake.address());
+    watch.options.reconnect = reconnect;
+    watch.Start();
+    ASSERT_TRUE(watch.WaitForLists(1));
+    EXPECT_LE(std::chrono::steady_clock::now() - silent_since.Get(), std::chrono::seconds(6));
+  }
+}
+
+TEST(WatchBound, TheTimesOfAWatchAddUpToLessThanTheSixSeconds) {
+  const proxy::Discovery::Options options;
+  // Two dials that hang, one after the silence and one at the return, with the longest back-off between.
+  EXPECT_LE(options.silence + 2 * options.connect_timeout + std::chrono::milliseconds(1000 - 500),
+            std::chrono::seconds(6));
+  EXPECT_GT(options.silence, std::chrono::seconds(2)) << "a heartbeat may be a little late";
+  // After a move there are 4 s: a dial that hangs, and another one.
+  EXPECT_LE(2 * options.connect_timeout, std::chrono::seconds(3));
+}
+
+// ---- what lists say
+// -----------------------------------------------------------------------------------------
+TEST(WatchLists, AWholeListThatLeavesABackendOutTakesItAway) {
+  Backend one("one"), two("two");
+  Site site(Members(MemberJson("s-1", one.address()), MemberJson("s-2", two.address(), "terminating")));
+  site.Start();
+  site.discovery.Push(ListJson(50, true, Members(MemberJson("s-2", two.address()))));
+  Client client(site.proxy->address);
+  ASSERT_TRUE(site.proxy->WaitUntil([](proxy::Proxy& p) { return p.last_revision() == 50; }));
+  for (int i = 0; i < 8; ++i) EXPECT_EQ(client.Ask(WithId(Look(), Numbered("w", i))).body(), "two");
+}
+
+// A request that is being dialled when its backend drains is served by another, and that dial is given up.
+TEST(WatchLists, ADialToABackendThatDrainsIsGivenUpAndAnotherServes) {
+  HeldDial held;
+  Backend other("other");
+  Site site(Members(MemberJson("s-1", held.address())));
+  site.config["settings"]["permissions"]["connectTimeoutMs"] = 600000.0;
+  site.Start();
+  ASSERT_TRUE(site.discovery.WaitForWatches(1));
+  Client client(site.proxy->address);
+  client.Send(Book());
+  ASSERT_TRUE(site.proxy->WaitUntil([](proxy::Proxy& p) { return p.backend_connections() == 1; }));
+  site.discovery.Push(ListJson(
+      50, false,
+      Members(MemberJson("s-1", held.address(), "terminating"), MemberJson("s-2", other.address()))));
+  EXPECT_EQ(client.Read().body(), "other");
+  EXPECT_TRUE(site.proxy->WaitUntil([](proxy::Proxy& p) { return p.backend_connections() == 1; }));
+}
+
+}  // namespace
+}  // namespace copperpoint::testing
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -12,24 +12,6 @@
 namespace copperpoint::testing {
 namespace {
 
-struct Site {
-  // A test that is about a time limit sets it; to all others a slow machine is none.
-  explicit Site(std::vector<nlohmann::json> known)
-      : config(ConfigJson(discovery.address(), std::move(known))) {
-    patience.whole_request = patience.answer_whole = std::chrono::minutes(1);
-  }
-  void Start() {
-    proxy::Config all = ConfigOf(config);
-    all.patience = patience;
-    proxy = std::make_unique<RunningProxy>(std::move(all));
-  }
-
-  FakeDiscovery discovery;
-  nlohmann::json config;
-  proxy::Patience patience;
-  std::unique_ptr<RunningProxy> proxy;
-};
-
 // ---- one final answer ---------------------------------------------------------------------------------
 TEST(Proxy, PassesARequestOnAndItsAnswerBackUnchanged) {
   Backend backend("a body");
