The worse program of the rolling tests by a test source; tests for signals and ends in one turn

Cause: proxy.cpp held a branch that only a test compiled (COPPERPOINT_HARM). A mutant showed that no test forced an end and a dial ready in one turn (aborted_and_written_all_the_same, not caught).

Change: what an answer says of its attempt is src/proxy/data/outcome.cpp; the worse program links tests/rig/harmful_outcome.cpp in its place, in which one request in four fails by its id. New: Attempts.EndedInTheTurnInWhichItsDialComesUpItIsNeverWritten, Process.* for a second SIGTERM, SIGINT and SIGHUP while it ends with eight requests held, and for SIGTERM before it is ready.

--- a/src/proxy/data/backends.cpp
+++ b/src/proxy/data/backends.cpp
@@ -18,6 +18,7 @@
 
 #include "log/log.h"
 #include "proxy/clock.h"
+#include "proxy/data/outcome.h"
 
 namespace copperpoint::proxy {
 namespace {
@@ -34,16 +35,6 @@
 
 Steady::duration ToSteady(Duration d) { return std::chrono::ceil<Steady::duration>(d); }
 
-// 503 and 504 alone may come from anything on the way; only the backend's own word proves that it never ran.
-Outcome OutcomeOf(const HttpResponse& response) {
-  const unsigned status = response.result_int();
-  if (status == 200) return Outcome::kOk;
-  if ((status == 503 || status == 504) && response["Srv-Declined"] == "1") return Outcome::kFull;
-  // What a backend says of the request is no failure of the backend's, and no other would say otherwise.
-  if (status >= 400 && status < 500 && status != 408 && status != 429) return Outcome::kUnknown;
-  return Outcome::kError;
-}
-
 // No fault of a backend: this process, or this machine, has no more to give.
 bool IsLocal(const Error& failed) {
   return failed == asio::error::no_descriptors || failed == asio::error::no_buffer_space ||
@@ -314,7 +305,7 @@
     if (parser_->is_done()) {
       reusable_ = parser_->keep_alive() && buffer_.size() == 0;
       HttpResponse response(parser_->get().base(), std::move(body_));
-      const Outcome outcome = OutcomeOf(response);
+      const Outcome outcome = OutcomeOf(*request_, response);
       return Finish(outcome, std::move(response));
     }
     if (body_.size() > kMostWhole || (length && *length > kMostWhole))
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -515,12 +515,6 @@
                                         {"outcome", WordFor(end.outcome)},
                                         {"took_ms", end.took.count()}});
   if (found != pending_.end()) found->second.attempt_out = false;
-#ifdef COPPERPOINT_HARM
-  // For tests of rolling changes: a build that fails every fourth request.
-  if (result.outcome == Outcome::kOk && ++harmed_ % 4 == 0) {
-    if (const auto responder = Conclude(request, End::kFailed, "harm")) responder->Failed();
-  }
-#endif
   if (result.outcome == Outcome::kOk) {
     Give(Conclude(request, End::kServed), [&](Responder& to) {
       to.Served(std::move(result.response), std::move(result.rest), result.length);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -127,9 +127,6 @@
   std::unordered_map<std::string, Steady::time_point> gone_since_;
   RequestId last_request_ = 0;
   std::deque<Event> events_;
-#ifdef COPPERPOINT_HARM
-  int harmed_ = 0;
-#endif
   bool handling_ = false;
   bool asked_for_listener_ = false;
   bool listed_ = false;  // a list has named a backend
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -165,6 +165,60 @@
   std::filesystem::rename(file.path + ".new", file.path);
 }
 
+// While it ends it is asked to end again, and to reload: what it holds is answered all the same.
+TEST(Process, FurtherSignalsWhileItEndsCostNoRequestItsAnswer) {
+  Watched<bool> release;
+  Backend backend([&](Tcp::socket& s, const HttpRequest&) {
+    release.WaitFor([](bool r) { return r; });
+    SendRaw(s, OkAnswer("served"));
+    return true;
+  });
+  FakeDiscovery discovery, elsewhere;
+  const ConfigFile file(
+      ConfigJson(discovery.address(), Members(MemberJson("s-1", backend.address()))).dump());
+  const auto address = FreePort();
+  Child child(
+      {{"ROUTER_CONFIG", file.path}, {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())}});
+  ASSERT_TRUE(WaitUntilReady(address));
+  std::vector<std::unique_ptr<Client>> clients;
+  for (std::size_t i = 0; i < 8; ++i) {
+    clients.push_back(std::make_unique<Client>(address));
+    clients.back()->Send(WithId(Book(), Numbered("r", i)));
+  }
+  ASSERT_TRUE(backend.WaitForRequests(1));
+  child.Signal(SIGTERM);
+  child.Signal(SIGTERM);
+  Replace(file, ConfigJson(elsewhere.address(), {}).dump());
+  child.Signal(SIGHUP);
+  ASSERT_TRUE(elsewhere.seen.WaitFor([](const FakeDiscovery::Seen& s) { return s.asked >= 1; }));
+  child.Signal(SIGINT);
+  // Also in the last stretch, when nobody is accepted any more.
+  const auto gone = [&] {
+    asio::io_context io;
+    Tcp::socket socket(io);
+    error_code failed;
+    socket.connect(address, failed);
+    return static_cast<bool>(failed);
+  };
+  while (!gone()) std::this_thread::yield();
+  child.Signal(SIGTERM);
+  release.Do([](bool& r) { r = true; });
+  for (const auto& client : clients) EXPECT_EQ(client->Read().body(), "served");
+  EXPECT_EQ(child.Wait(), 0);
+}
+
+// One that is told to end before it serves, or before it has a list, ends.
+TEST(Process, ToldToEndBeforeItIsReadyItEnds) {
+  FakeDiscovery discovery;
+  const ConfigFile file(ConfigJson(discovery.address(), {}).dump());
+  const auto address = FreePort();
+  Child child(
+      {{"ROUTER_CONFIG", file.path}, {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())}});
+  ASSERT_TRUE(discovery.WaitForWatches(1));
+  child.Signal(SIGTERM);
+  EXPECT_EQ(child.Wait(), 0);
+}
+
 TEST(Process, AtSighupDiscoveryMovesAndItsWholeListIsTaken) {
   Backend before("before"), after("after"), later("later");
   FakeDiscovery here, there;
--- a/tests/proxy/attempts_test.cpp
+++ b/tests/proxy/attempts_test.cpp
@@ -3,6 +3,9 @@
 // One attempt at a time, its event loop stepped by hand: what is ready in one turn, and what comes between.
 #include <gtest/gtest.h>
 
+#include <boost/asio/local/connect_pair.hpp>
+#include <boost/asio/local/stream_protocol.hpp>
+#include <functional>
 #include <optional>
 
 #include "proxy/data/backends.h"
@@ -134,6 +137,24 @@
   EXPECT_EQ(backends_->connections(), 0u);
 }
 
+// Both are ready in one turn of the loop: what ends the attempt comes first, and the dial right behind it.
+TEST_F(Attempts, EndedInTheTurnInWhichItsDialComesUpItIsNeverWritten) {
+  const std::function<void()> ends[] = {[this] { backends_->AbortUnsent(ticket_); },
+                                        [this] { backends_->Retire(kServer); }};
+  for (const auto& end : ends) {
+    backends_->Set(kServer, acceptor_.local_endpoint(), 0);
+    asio::local::stream_protocol::socket trigger(io_), pulls(io_);
+    asio::local::connect_pair(trigger, pulls);
+    trigger.async_wait(asio::socket_base::wait_read, [&](const error_code&) { end(); });
+    asio::write(pulls, asio::buffer("!", 1));
+    Send(milliseconds(60000));
+    Tcp::socket peer = Accepted();
+    ASSERT_TRUE(Ended());
+    EXPECT_EQ(result_->outcome, Outcome::kMoot);
+    EXPECT_EQ(HearToTheEnd(peer).bytes, "");
+  }
+}
+
 TEST_F(Attempts, ABackendThatDrainsWhileItIsDialledGetsNothing) {
   Send(milliseconds(60000));
   Tcp::socket peer = Accepted();
--- /dev/null
+++ b/tests/rig/harmful_outcome.cpp
@@ -0,0 +1,16 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// In place of src/proxy/data/outcome.cpp in the program that is worse, for rolling changes to stop: one request in
+// four fails, whichever backend has answered it.
+#include "proxy/data/outcome.h"
+#include "proxy/discovery/members.h"
+
+namespace copperpoint::proxy {
+
+Outcome OutcomeOf(const HttpRequest& request, const HttpResponse& response) {
+  const auto id = request["Req-Id"];
+  if (StableHash({id.data(), id.size()}) % 4 == 0) return Outcome::kError;
+  return response.result_int() == 200 ? Outcome::kOk : Outcome::kError;
+}
+
+}  // namespace copperpoint::proxy
