--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -207,6 +207,40 @@
   EXPECT_EQ(child.Wait(), 0);
 }
 
+// Clients that rest have all the places that are theirs, and more wait: discovery and backends are still
+// reached, and who asks is served.
+TEST(Process, ClientsThatFillTheDescriptorsLeaveRoomForDiscoveryAndBackends) {
+  constexpr rlim_t kDescriptors = 256;
+  Backend backend;
+  FakeDiscovery discovery;
+  auto config = ConfigJson(discovery.address(), Members(MemberJson("s-1", backend.address())));
+  config["limits"]["sockets"] = kDescriptors;
+  const ConfigFile file(config.dump());
+  const auto address = FreePort();
+  Child child(
+      {{"ROUTER_CONFIG", file.path}, {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())}},
+      kDescriptors);
+  ASSERT_TRUE(WaitUntilReady(address));
+  ASSERT_TRUE(discovery.WaitForWatches(1));
+  std::vector<std::unique_ptr<Client>> resting;
+  const auto fill = [&](std::size_t n) {
+    for (std::size_t i = 0; i < n; ++i) resting.push_back(std::make_unique<Client>(address));
+  };
+  fill(300);
+  for (std::size_t watches = 2; watches < 5; ++watches) {
+    discovery.EndWatch();
+    fill(50);
+    ASSERT_TRUE(discovery.WaitForWatches(watches));  // another descriptor was there for it
+    Client asks(address);
+    EXPECT_EQ(asks.Ask(WithId(Look(), Numbered("r", watches))).body(), "served");
+  }
+  resting.clear();
+  Client after(address);
+  EXPECT_EQ(after.Ask(WithId(Look(), "after")).body(), "served");
+  child.Signal(SIGTERM);
+  EXPECT_EQ(child.Wait(), 0);
+}
+
 // One that is told to end before it serves, or before it has a list, ends.
 TEST(Process, ToldToEndBeforeItIsReadyItEnds) {
   FakeDiscovery discovery;
--- a/tests/proxy/client_gone_test.cpp
+++ b/tests/proxy/client_gone_test.cpp
@@ -125,6 +125,20 @@
   }
 }
 
+// What comes behind a request that is the connection's last is not looked at, nor does it cost the answer.
+TEST(Pipelined, WhatComesBehindALastRequestIsNotServedAndTheAnswerArrivesWhole) {
+  Backend backend(std::string(60 * 1024, 'a'));
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.Start();
+  Client client(site.proxy->address);
+  client.Send(Look("Connection: close\r\n") + WithId(Book(), "behind") + std::string(200 * 1024, 'x'));
+  EXPECT_EQ(client.Read().body().size(), 60u * 1024);
+  client.Send(WithId(Book(), "later"));
+  client.socket.shutdown(Tcp::socket::shutdown_send);
+  EXPECT_EQ(HearToTheEnd(client.socket).how, asio::error::eof);
+  EXPECT_EQ(backend.seen.Get().requests.size(), 1u);
+}
+
 // Holds all places for clients with requests that wait at a backend.
 struct FullSite {
   FullSite()
