--- a/src/proxy/config/operating.cpp
+++ b/src/proxy/config/operating.cpp
@@ -35,11 +35,16 @@
            {.text = "for a body, beyond what it takes at `shares.least_body_rate`", .most = kHour});
   v.Millis("kept_ms", kept, {.text = "for a client's next request", .least = 1, .most = 24 * kHour});
   v.Millis("spare_ms", spare,
-           {.text = "after which a connection with no request open may make room for others", .most = kHour});
-  v.Millis("silent_ms", silent, {.text = "the same of a connection that never sent anything", .most = kHour});
+           {.text = "after which a connection with no request open may be closed to make room ahead of need",
+            .most = kHour});
+  v.Millis("silent_ms", silent,
+           {.text = "after which any connection that rests may be closed where another waits to be accepted",
+            .most = kHour});
   v.Millis("answer_taken_ms", answer_taken,
            {.text = "for a client to take its answer", .least = 10, .most = kHour});
-  v.Millis("drained_ms", drained, {.text = "for a client to close after its last answer", .most = kHour});
+  v.Millis(
+      "drained_ms", lingering,
+      {.text = "for a client to close once the proxy has ended its side (a lingering close)", .most = kHour});
   v.Millis("answer_whole_ms", answer_whole,
            {.text = "without a byte of a backend's answer that has begun and is held whole",
             .least = 1,
--- a/src/proxy/config/operating.h
+++ b/src/proxy/config/operating.h
@@ -22,10 +22,10 @@
   Ms whole_request{2500};  // from a connection's start, or a next request's first byte, to its head's last
   Ms body_grace{1200};     // for a body, beyond what it takes at the least rate
   Ms kept{90000};          // for a client's next request
-  Ms spare{2000};          // after which a connection with no request open may make room for others
-  Ms silent{250};          // the same of one that never sent anything
+  Ms spare{2000};          // after which a connection with no request open may be closed ahead of need
+  Ms silent{250};          // the same of any that rests, where another waits to be accepted
   Ms answer_taken{10000};  // for a client to take its answer
-  Ms drained{1000};        // for a client to close after its last answer
+  Ms lingering{1000};      // for a client to close once its connection has been ended here
   Ms answer_whole{100};    // without a byte of an answer that has begun and is held whole
   Ms stalled{5000};        // without a byte of a large body from or to a backend
   Ms rest{2};              // before a connection to a backend is used again
--- a/src/proxy/data/clients.cpp
+++ b/src/proxy/data/clients.cpp
@@ -109,7 +109,7 @@
     Error ignored;
     if (state_ != State::kWriting) socket_.cancel(ignored);  // the watch for a next request, or its reading
     Release();
-    Enter(State::kLingering, patience().drained);
+    Enter(State::kLingering, patience().lingering);
     socket_.shutdown(Tcp::socket::shutdown_send, ignored);
     Discard();
   }
--- a/tests/rig/harmful_outcome.cpp
+++ b/tests/rig/harmful_outcome.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// In place of src/proxy/data/outcome.cpp in the program that is worse, for rolling changes to stop: one request in
-// four fails, whichever backend has answered it.
+// In place of src/proxy/data/outcome.cpp in the program that is worse, for rolling changes to stop: one
+// request in four fails, whichever backend has answered it.
 #include "proxy/data/outcome.h"
 #include "proxy/discovery/members.h"
 
