Read again: each pipelined request has its own time, floods in turns, calls wait their turn

Cause, seen on reading again: came_ kept the time of the first byte read ahead for as long as the buffer never ran empty, so that a client that always pipelines had its later requests taken for old and refused; ReadAhead went on for as long as a flood did; a call to discovery was given up after 3 s like a silent watch, where discovery answers in turn.

Change: marks of what came when, used up as requests are read; 32 reads a turn; 4 s for the first message of a call (5 s until the module asks anew), 3 s without a message after that.

--- a/src/decision/asking.h
+++ b/src/decision/asking.h
@@ -46,7 +46,7 @@
 
  private:
   // A change counts as told 6 s after discovery had it and could be reached, whatever failed before.
-  static constexpr Duration kMostBackoff{1000}, kMostAnswer{4000};
+  static constexpr Duration kMostBackoff{1000}, kMostAnswer{5000};
 
   Duration within_, backoff_{0};
   TimePoint at_ = kNever;
--- a/src/proxy/data/clients.cpp
+++ b/src/proxy/data/clients.cpp
@@ -33,9 +33,11 @@
 constexpr std::chrono::milliseconds kFresh{500};  // while drained, for a new connection to say something
 constexpr std::size_t kMostAhead = 32 * 1024;     // of requests behind an open one
 constexpr std::chrono::milliseconds kBegun{
-    500};                       // for the rest of a request, where another waits for the place
-constexpr int kAtOnce = 16;     // clients accepted before others have their turn
-constexpr double kRoomy = 0.4;  // of the connections, up to which those that stand idle are kept
+    500};                               // for the rest of a request, where another waits for the place
+constexpr int kMostReads = 32;          // of what a client sends ahead, before others have their turn
+constexpr std::size_t kMostMarks = 16;  // times kept of what came ahead
+constexpr int kAtOnce = 16;             // clients accepted before others have their turn
+constexpr double kRoomy = 0.4;          // of the connections, up to which those that stand idle are kept
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 constexpr const char* kText = "text/plain";
 
@@ -187,7 +189,7 @@
     Release();
     parser_.reset();
     if (buffer_.size() > 0) return Begin();  // the next request came right behind the last
-    came_ = std::nullopt;
+    came_.clear();
     buffer_.shrink_to_fit();  // what stands idle keeps no memory
     socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](const Error& failed) {
       if (self->state_ != State::kWaiting) return;
@@ -208,17 +210,17 @@
         [self = shared_from_this(), ahead = buffer_.size()](const Error& failed, std::size_t n) {
           if (self->state_ != State::kReading) return;
           if (failed) return self->OnUnreadable(failed);
-          // The head or the body came later than what was here before.
-          const auto body = self->parser_->content_length().value_or(0);
-          if (self->parser_->chunked() || n + body > ahead) self->came_ = std::nullopt;
+          self->size_ = n + self->parser_->content_length().value_or(0);
+          self->whole_ahead_ = !self->parser_->chunked() && self->size_ <= ahead;
           self->OnHeader();
         });
   }
 
   // Takes what has come behind the request that is open, as a client that leaves shows it only behind that;
-  // false if it has left. What is too much is dropped, and the connection closes after this answer.
+  // false if it has left. What is too much is dropped, and the connection closes after this answer. A flood
+  // that does not end is looked at in turns.
   bool ReadAhead(Steady::time_point at, bool may_drop = true) {
-    for (;;) {
+    for (int n = 0; n < kMostReads; ++n) {
       Error failed;
       if (buffer_.size() >= kMostAhead) {
         if (!may_drop) return true;
@@ -227,12 +229,41 @@
         socket_.read_some(asio::buffer(dropped), failed);
       } else {
         const std::size_t n = socket_.read_some(buffer_.prepare(kMostAhead - buffer_.size()), failed);
-        if (n > 0 && !came_) came_ = at;
+        if (n > 0) Came(n, at);
         buffer_.commit(n);
       }
       if (failed == asio::error::would_block || failed == asio::error::try_again) return true;
       if (failed && failed != asio::error::interrupted) return false;
     }
+    return true;
+  }
+
+  void Came(std::size_t bytes, Steady::time_point at) {
+    if (came_.size() < kMostMarks) {
+      came_.push_back({bytes, at});
+    } else {
+      came_.back().bytes += bytes;
+    }
+  }
+
+  // When the last byte of the request that has been read was here. That may be long ago: it waited behind
+  // another of this client's, or the connection waited to be accepted.
+  Steady::time_point CameWhole(Steady::time_point now) {
+    if (!whole_ahead_) {
+      came_.clear();
+      if (buffer_.size() > 0) Came(buffer_.size(), now);
+      return now;
+    }
+    Steady::time_point at = now;
+    for (std::size_t left = size_; left > 0 && !came_.empty();) {
+      Mark& first = came_.front();
+      const std::size_t taken = std::min(left, first.bytes);
+      at = first.at;
+      left -= taken;
+      first.bytes -= taken;
+      if (first.bytes == 0) came_.erase(came_.begin());
+    }
+    return at;
   }
 
   void OnHeader() {
@@ -345,9 +376,7 @@
 
   void OnRead(Steady::time_point at) {
     asked_ = true;
-    // Its time counts from when it was here whole, which may be long ago: it waited behind another of this
-    // client's, or the connection waited to be accepted.
-    at = std::min(at, came_.value_or(at));
+    at = std::min(at, CameWhole(at));
     uploading_ = !parser_->is_done();
     uploaded_ = 0;
     upload_time_ = {};
@@ -495,11 +524,17 @@
   RequestId request_ = 0;
   std::size_t discarded_ = 0, reserved_ = 0;
   State state_ = State::kWaiting;
-  Steady::time_point since_{}, until_{};    // of the state
-  std::optional<Steady::time_point> came_;  // when what is in the buffer began to come, if not just now
-  bool overrun_ = false;                    // has sent more behind an open request than is kept
-  bool asked_ = false;                      // has sent a whole request
-  bool last_ = false;                       // the connection closes after this answer
+  Steady::time_point since_{}, until_{};  // of the state
+  struct Mark {
+    std::size_t bytes;
+    Steady::time_point at;
+  };
+  std::vector<Mark> came_;    // when what is in the buffer came, as far as it was read ahead
+  std::size_t size_ = 0;      // of the request that is being read, as far as its head tells
+  bool whole_ahead_ = false;  // all of that was here before it was looked at
+  bool overrun_ = false;      // has sent more behind an open request than is kept
+  bool asked_ = false;        // has sent a whole request
+  bool last_ = false;         // the connection closes after this answer
 };
 
 Clients::Clients(asio::io_context& io, const Config& config, std::size_t most_connections,
--- a/src/proxy/discovery/discovery.cpp
+++ b/src/proxy/discovery/discovery.cpp
@@ -53,12 +53,14 @@
 
  private:
   // Only what is whole is a sign of life: a trickle of bytes must not keep a watch that tells nothing.
-  void Extend() {
+  void Extend(bool answered = true) {
     alive_at_ = Steady::now();
     unfinished_ = 0;
+    answered_ = answered;
   }
   void ExpectMore() {
-    stream_.expires_at(alive_at_ + owner_->options_.silence +
+    const auto& options = owner_->options_;
+    stream_.expires_at(alive_at_ + (answered_ ? options.silence : options.answer) +
                        std::chrono::milliseconds(unfinished_ / kLeastRate));
   }
 
@@ -75,7 +77,7 @@
     const std::string from = std::to_string(owner_->options_.revision);
     request_.target(whole_list_ ? "/v1/endpoints" : "/v1/endpoints?stream=1&index=" + from);
     request_.set(http::field::host, address_.address().to_string());
-    Extend();
+    Extend(/*answered=*/false);
     ExpectMore();
     http::async_write(stream_, request_, [self = shared_from_this()](const Error& failed, std::size_t) {
       if (!self->owner_) return;
@@ -173,6 +175,7 @@
   Messages messages_;  // of the watch
   Steady::time_point alive_at_{};
   std::size_t unfinished_ = 0;  // bytes since then
+  bool answered_ = false;       // the call has brought its first message
 };
 
 Discovery::Discovery(asio::io_context& io, Options options, OnList on_list, OnFailure on_failure)
--- a/src/proxy/discovery/discovery.h
+++ b/src/proxy/discovery/discovery.h
@@ -29,6 +29,8 @@
     // A watch that has fallen silent and the dial after it, or two dials that come to nothing, together must
     // stay under the 6 s after which a change counts as told; after a move there are 4 s.
     std::chrono::milliseconds silence{3000};  // without a whole message: one heartbeat and a half
+    std::chrono::milliseconds answer{
+        4000};  // for the first message of a call: discovery handles calls in turn
     std::chrono::milliseconds connect_timeout{1000};
     std::uint64_t seed = 0;
   };
--- a/tests/proxy/client_gone_test.cpp
+++ b/tests/proxy/client_gone_test.cpp
@@ -125,6 +125,36 @@
   }
 }
 
+// Each has its time from when it came, not from when the first of them did, nor from when the one before was
+// answered.
+TEST(Pipelined, EachHasItsTimeFromWhenItCame) {
+  Watched<int> answered;
+  Watched<int> may_answer;
+  Backend backend([&](Tcp::socket& s, const HttpRequest&) {
+    int n = 0;
+    answered.Do([&](int& a) { n = ++a; });
+    may_answer.WaitFor([&](int m) { return m >= n; });
+    SendRaw(s, OkAnswer("served"));
+    return true;
+  });
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.Start();
+  Client client(site.proxy->address);
+  client.Send(WithId(Look(), "a") + WithId(Look("Req-Deadline-Ms: 30000\r\n"), "b"));
+  ASSERT_TRUE(backend.WaitForRequests(1));
+  StandStill(milliseconds(2000));
+  client.Send(WithId(Look("Req-Deadline-Ms: 30000\r\n"), "c"));
+  StandStill(milliseconds(100));
+  may_answer.Do([](int& m) { m = 3; });
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(client.Read().body(), "served");
+  const auto seen = backend.seen.Get().requests;
+  ASSERT_EQ(seen.size(), 3u);
+  const int b = std::stoi(std::string(seen[1]["Req-Deadline-Ms"]));
+  const int c = std::stoi(std::string(seen[2]["Req-Deadline-Ms"]));
+  EXPECT_LE(b, 28000);
+  EXPECT_GE(c - b, 500) << "the third came 2 s after the second, and went out right behind it";
+}
+
 // What comes behind a request that is the connection's last is not looked at, nor does it cost the answer.
 TEST(Pipelined, WhatComesBehindALastRequestIsNotServedAndTheAnswerArrivesWhole) {
   Backend backend(std::string(60 * 1024, 'a'));
--- a/tests/proxy/watch_test.cpp
+++ b/tests/proxy/watch_test.cpp
@@ -279,6 +279,9 @@
   EXPECT_LE(options.silence + 2 * options.connect_timeout + std::chrono::milliseconds(1000 - 500),
             std::chrono::seconds(6));
   EXPECT_GT(options.silence, std::chrono::seconds(2)) << "a heartbeat may be a little late";
+  // A call that is never answered, and the longest back-off after it.
+  EXPECT_LT(options.answer + std::chrono::milliseconds(1000), std::chrono::seconds(6));
+  EXPECT_GT(options.answer, options.silence) << "calls wait their turn";
   // After a move there are 4 s: a dial that hangs, and another one.
   EXPECT_LE(2 * options.connect_timeout, std::chrono::seconds(3));
 }
