--- a/src/lab/scenario/scenario.cpp
+++ b/src/lab/scenario/scenario.cpp
@@ -92,6 +92,10 @@
            {.text = "a cold one falls over when sent more than this times what it can do; 0: never",
             .most = 1000});
   v.Number("fall_ms", fall_ms, {.text = "for this long", .unit = "ms", .least = 1, .most = 1e6});
+  v.Number("fall_roots", fall_roots,
+           {.text = "roots of that, in requests of mean work, that chance may add, and two requests; 0: "
+                    "three requests",
+            .most = 10});
   v.Number("error_rate", error_rate, {.text = "share of answers that are errors", .most = 1});
   v.Word("cancelled", cancelled, {"runs_on", "queued", "stops"},
          {.text = "of work given up: it runs on, what waits is dropped, or all stops"});
--- a/src/lab/scenario/scenario.h
+++ b/src/lab/scenario/scenario.h
@@ -82,6 +82,7 @@
   double warm_up_s = 0;
   double fall_multiple = 0;  // a cold one falls over when sent more than this; 0: never
   double fall_ms = 1000;
+  double fall_roots = 0;  // what chance may add to it; 0: three requests
   double error_rate = 0;
   std::string cancelled = "runs_on";  // or queued: waiting work is dropped; stops: all of it
   int connections = 0;                // that it accepts; 0: any number
--- a/tests/lab/world_test.cpp
+++ b/tests/lab/world_test.cpp
@@ -287,5 +287,20 @@
   EXPECT_GE(played, 28);
 }
 
+// What one cold backend bears is the sum over two dozen proxies: N + 2 roots of N + 2 requests (fall_roots).
+// With a pick that has no cold budget the same day breaks the rule.
+TEST(Shipped, NoColdBackendOfAThrongIsPushedOverByTheSumOfAllProxies) {
+  Scenario s = ReadScenario(std::string(SOURCE_DIR) + "/lab/scenarios/throng.toml");
+  for (const Machine& m : s.machines) EXPECT_EQ(m.fall_roots, 2);
+  RunOptions options;
+  for (options.seed = 1; options.seed <= 60; ++options.seed) {
+    const RunResult result = RunAndTell(s, options);
+    EXPECT_EQ(result.broken, 0) << "seed " << options.seed << " " << result.json["broken"].dump(1);
+  }
+  options.seed = 1;
+  options.policy = "p2c";
+  EXPECT_GT(RunAndTell(s, options).broken, 0);
+}
+
 }  // namespace
 }  // namespace copperpoint::lab
