A retry with an idempotency key is written within its window or not at all

Cause: the deduplication window was compared with the time of the decision, less a tenth of the window. The attempt is written in a later turn of the event loop, when its connection is established, and nothing looked at the window again.

Attempt 1 is started 447 ms after attempt 0 (window 500 ms), its connection is up while the process is stopped, and the backend has its first byte at 592 ms, 0.5 ms after SIGCONT. So neither the decision nor the way to the backend was late, but the write.

Change: StartAttempt carries the time to be sent by: the end of the window less 0.15 s. RequestWriter checks it before each write, and the connection's timer ends an unwritten attempt then as not sent, so that the request gets its final answer. A suspension between that check and the write is what the 0.15 s cover. An attempt is not timed out any more where its retry could not be sent. New event request_written (debug).

The test of the margin of a tenth is replaced: its bound was the fault. The new ones pin the bound at four windows, and that a retry is permitted up to it.

Measured: with the code before, RetrySafety.KeyedRequestIsNotSentAgainWhenTheConnectionComesUpAfterTheWindow fails (the second backend reads POST /change about 1 s after the first; window 800 ms), and KeyedRequestIsSentAgainWithinTheWindow passes; now both pass, as do Attempts.*, ActionExecutorTest.* and the 225 tests of the decision module. Price: the retries that fall into the last 0.15 s of a window.

--- a/include/copperpoint/balancer.h
+++ b/include/copperpoint/balancer.h
@@ -214,6 +214,9 @@
   RequestId request = 0;
   BackendId backend = 0;
   Duration timeout{0};  // 0: no timeout but the client's deadline
+  // Latest time at which the last byte may be written. An attempt that is not written completely by then ends
+  // as kNotSent.
+  TimePoint send_by = TimePoint::max();
 };
 
 // Final answer: the request had no effect, or repeating it has none, so that a client retry is harmless.
--- a/src/adapter/codec.cpp
+++ b/src/adapter/codec.cpp
@@ -178,6 +178,7 @@
 struct Encoder {
   std::string& out;
 
+  // The simulator sends within the batch, so that send_by has no field.
   ActionCode operator()(const StartAttempt& a) const {
     Put(out, a.request);
     Put(out, a.timeout.count());
--- a/src/decision/request_scheduler.cpp
+++ b/src/decision/request_scheduler.cpp
@@ -20,7 +20,7 @@
   BackendState* backend = permission.may_dispatch && HasCapacity() ? Pick(request, permission) : nullptr;
   if (backend) {
     state_.queue.Remove(request);
-    StartAttemptAt(request, *backend);
+    StartAttemptAt(request, *backend, permission.send_by);
     return true;
   }
   if (!permission.may_dispatch) {
@@ -61,13 +61,13 @@
   return result.backend;
 }
 
-void RequestScheduler::StartAttemptAt(RequestState& request, BackendState& backend) {
+void RequestScheduler::StartAttemptAt(RequestState& request, BackendState& backend, TimePoint send_by) {
   if (request.attempts.empty()) {
     state_.retry_budget.OnFirstAttempt();
   } else {
     state_.retry_budget.OnRetry();
   }
-  const Duration timeout = TimeoutFor(request, backend);
+  const Duration timeout = TimeoutFor(request, backend, send_by);
   if (backend.outstanding_attempts == 0) backend.last_activity = state_.now;
   state_.concurrency_limit.OnAttemptStarted();
   backend.outstanding_work_ms += request.work_ms;
@@ -81,13 +81,15 @@
   attempt.backend = index;
   attempt.started_at = state_.now;
   request.attempts.push_back(attempt);
-  state_.Emit(StartAttempt{request.id, backend.endpoint.backend, timeout});
+  state_.Emit(StartAttempt{request.id, backend.endpoint.backend, timeout, send_by});
 }
 
-Duration RequestScheduler::TimeoutFor(const RequestState& request, const BackendState& backend) const {
+Duration RequestScheduler::TimeoutFor(const RequestState& request, const BackendState& backend,
+                                      TimePoint send_by) const {
+  const ClassSettings& settings = state_.ClassOf(request);
   AttemptTimeoutInputs inputs;
-  inputs.may_retry = state_.ClassOf(request).idempotency != Idempotency::kNonIdempotent &&
-                     state_.retry_budget.HasToken() && !state_.retry_policy.NextAttemptIsLast(request);
+  inputs.may_retry = settings.idempotency != Idempotency::kNonIdempotent && state_.retry_budget.HasToken() &&
+                     !state_.retry_policy.NextAttemptIsLast(request);
   inputs.has_samples = state_.latencies.HasSamples(request.request_class);
   inputs.backend_has_attempts = backend.outstanding_attempts > 0;
   inputs.time_since_activity = state_.now - backend.last_activity;
@@ -95,6 +97,7 @@
   inputs.usual_latency = state_.latencies.UsualLatency(request.request_class, request.work_ms);
   inputs.now = state_.now;
   inputs.deadline = request.deadline;
+  inputs.retry_by = std::min(send_by, RetryPolicy::RetryBy(state_.now, settings));
   return AttemptTimeoutFor(inputs);
 }
 
--- a/src/decision/request_scheduler.h
+++ b/src/decision/request_scheduler.h
@@ -40,8 +40,9 @@
   Duration RetryAfter(const RequestState& request);
 
  private:
-  void StartAttemptAt(RequestState& request, BackendState& backend);
-  Duration TimeoutFor(const RequestState& request, const BackendState& backend) const;
+  // `send_by`: as in RetryPolicy::Permission.
+  void StartAttemptAt(RequestState& request, BackendState& backend, TimePoint send_by);
+  Duration TimeoutFor(const RequestState& request, const BackendState& backend, TimePoint send_by) const;
   void Enqueue(RequestState& request);
   void OnMaxQueueTime(RequestState& request);
   void RejectForNoCapacity(RequestState& request);
--- a/src/decision/retry_policy.cpp
+++ b/src/decision/retry_policy.cpp
@@ -19,8 +19,8 @@
     return permission;
   permission.may_reject = settings.idempotency == Idempotency::kIdempotencyKey &&
                           settings.deduplication_scope == DeduplicationScope::kAll;
-  if (settings.idempotency == Idempotency::kNonIdempotent ||
-      now - first_run->started_at > settings.deduplication_window * kWindowMargin)
+  permission.send_by = RetryBy(first_run->started_at, settings);
+  if (settings.idempotency == Idempotency::kNonIdempotent || now >= permission.send_by)
     permission.may_dispatch = false;
   if (permission.may_dispatch) permission.deduplication_anchor = first_run->backend;
   return permission;
--- a/src/decision/retry_policy.h
+++ b/src/decision/retry_policy.h
@@ -8,6 +8,8 @@
 
 #include "copperpoint/balancer.h"
 #include "decision/backend_state.h"
+#include "decision/max_suspension.h"
+#include "decision/never.h"
 #include "decision/request_state.h"
 
 namespace copperpoint {
@@ -25,6 +27,7 @@
     bool may_reject = false;    // the request may end as rejected; if false, it can only end as failed
     // If set, the attempt may only go to backends that recognise duplicates of what this backend executed.
     std::optional<BackendIndex> deduplication_anchor;
+    TimePoint send_by = kNever;  // the attempt must be written by this time, while they still recognise them
   };
   Permission PermissionFor(const RequestState& request, const ClassSettings& settings, TimePoint now) const;
 
@@ -52,10 +55,15 @@
              outcome == AttemptOutcome::kNotSent);
   }
 
- private:
-  // Fraction of the deduplication window in which a retry may start; the rest allows for delays.
-  static constexpr double kWindowMargin = 0.9;
+  // Returns the latest time at which a retry may be written if the first attempt that may have run started at
+  // `started_at`: the deduplication window, less a suspension of the process just before the write. kNever if
+  // the class has no such limit.
+  static TimePoint RetryBy(TimePoint started_at, const ClassSettings& settings) {
+    if (settings.idempotency != Idempotency::kIdempotencyKey) return kNever;
+    return started_at + settings.deduplication_window - kMaxSuspension;
+  }
 
+ private:
   int max_attempts_;
 };
 
--- a/src/log/event_names.h
+++ b/src/log/event_names.h
@@ -13,6 +13,7 @@
 inline constexpr std::string_view kRequestReceived = "request_received";
 inline constexpr std::string_view kRequestCompleted = "request_completed";
 inline constexpr std::string_view kAttemptStarted = "attempt_started";
+inline constexpr std::string_view kRequestWritten = "request_written";
 inline constexpr std::string_view kAttemptCompleted = "attempt_completed";
 inline constexpr std::string_view kConnectionOpened = "connection_opened";
 inline constexpr std::string_view kActionFailed = "action_failed";
--- a/src/proxy/core/action_executor.cpp
+++ b/src/proxy/core/action_executor.cpp
@@ -11,9 +11,14 @@
 #include "log/log.h"
 
 namespace copperpoint::proxy {
-ActionExecutor::ActionExecutor(Options options, RequestTable& requests, BackendPool& backends,
-                               DiscoveryClient& discovery, EventSink& events)
-    : options_(options), requests_(requests), backends_(backends), discovery_(discovery), events_(events) {}
+ActionExecutor::ActionExecutor(Options options, const BalancerClock& clock, RequestTable& requests,
+                               BackendPool& backends, DiscoveryClient& discovery, EventSink& events)
+    : options_(options),
+      clock_(clock),
+      requests_(requests),
+      backends_(backends),
+      discovery_(discovery),
+      events_(events) {}
 
 void ActionExecutor::Execute(const Action& action) {
   std::visit([this](const auto& alternative) { Run(alternative); }, action);
@@ -51,7 +56,7 @@
   if (action.timeout.count() != 0) timeout = std::clamp(action.timeout, Duration(0), timeout);
   const AttemptRecord attempt{action.request, number, action.backend, now};
   request.attempt = backends_.SendRequest(
-      action.backend, request.message, timeout,
+      action.backend, request.message, {.timeout = timeout, .send_by = clock_.ToSteady(action.send_by)},
       [this, attempt](AttemptResult result) { OnAttemptCompleted(attempt, std::move(result)); },
       request.upload);
 }
--- a/src/proxy/core/action_executor.h
+++ b/src/proxy/core/action_executor.h
@@ -25,8 +25,8 @@
     Duration process_limit_retry_after{0};  // Retry-After where this process's own limits reject a request
   };
 
-  ActionExecutor(Options options, RequestTable& requests, BackendPool& backends, DiscoveryClient& discovery,
-                 EventSink& events);
+  ActionExecutor(Options options, const BalancerClock& clock, RequestTable& requests, BackendPool& backends,
+                 DiscoveryClient& discovery, EventSink& events);
 
   void Execute(const Action& action) override;
   void OnExecuteFailed(const Action& action) override;
@@ -55,6 +55,7 @@
   void CompleteRequest(const AttemptRecord& attempt, AttemptResult result);
 
   Options options_;
+  const BalancerClock& clock_;
   RequestTable& requests_;
   BackendPool& backends_;
   DiscoveryClient& discovery_;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -70,7 +70,7 @@
           [this] {
             dispatcher_.Dispatch(EndpointUpdate{EndpointUpdateKind::kFailed, {}});
           }),
-      executor_({config_.settings.max_attempts, config_.shares.process_limit_retry_after}, requests_,
+      executor_({config_.settings.max_attempts, config_.shares.process_limit_retry_after}, clock_, requests_,
                 backends_, discovery_, dispatcher_),
       receiver_(clock_, requests_, backends_, dispatcher_),
       handover_(io, {StateFile(config_, "handover.sock"), config_.listen, config_.upgrade},
--- a/src/proxy/upstream/attempt.h
+++ b/src/proxy/upstream/attempt.h
@@ -32,18 +32,29 @@
 };
 using AttemptCallback = std::function<void(AttemptResult)>;
 
+// The time limits of one attempt.
+struct AttemptLimits {
+  Duration timeout{};  // from the start or, with an upload, from the last byte of the request
+  // Latest time at which the last byte of the request may be written. An attempt that is not written
+  // completely by then ends as kNotSent.
+  Steady::time_point send_by = Steady::time_point::max();
+};
+
 // An attempt in progress, owned by the connection that it uses.
 struct Attempt {
   std::shared_ptr<const HttpRequest> request;
   std::shared_ptr<RequestBodyStream>
       upload;                    // the rest of a large request body; null if `request` is complete
   AttemptCallback on_completed;  // null once completed
+  Steady::time_point started_at{};
   Steady::duration timeout{};
-  Steady::time_point deadline{};    // start plus `timeout` or, with an upload, its last byte plus `timeout`
-  Steady::time_point written_at{};  // when the last byte of an upload was written
+  Steady::time_point deadline{};  // start plus `timeout` or, with an upload, its last byte plus `timeout`
+  Steady::time_point send_by = Steady::time_point::max();  // as in AttemptLimits
+  Steady::time_point written_at{};                         // when the last byte of an upload was written
   bool completing = false;  // its completion is posted to the event loop; all other events are ignored
 
   bool in_progress() const { return on_completed != nullptr; }
+  bool MayBeWritten(Steady::time_point now) const { return now < send_by; }
 };
 
 }  // namespace copperpoint::proxy
--- a/src/proxy/upstream/backend_connection.cpp
+++ b/src/proxy/upstream/backend_connection.cpp
@@ -6,8 +6,11 @@
 #include <boost/asio/post.hpp>
 #include <cassert>
 #include <chrono>
+#include <string>
 #include <utility>
 
+#include "log/event_names.h"
+#include "log/log.h"
 #include "proxy/upstream/backend_pool.h"
 #include "proxy/upstream/outcome.h"
 
@@ -67,12 +70,12 @@
   if (!error) socket_.set_option(Tcp::no_delay(true), error);
   if (!error) socket_.non_blocking(true, error);
   if (error) return FailSoon(AttemptOutcome::kNotSent, /*local_failure=*/true);
-  SetTimer(std::min(attempt_.deadline, Steady::now() + ToSteady(timeout)));
+  SetTimer(std::min(WriteBy(), Steady::now() + ToSteady(timeout)));
   socket_.async_connect(address, [self = shared_from_this(), id = attempt_id_](const Error& error) {
     if (!self->IsCurrent(id)) return;
     if (error && IsLocalFailure(error)) return self->Fail(AttemptOutcome::kNotSent, /*local_failure=*/true);
     if (error) return self->Fail(AttemptOutcome::kConnectFailure);
-    self->SetTimer(self->attempt_.deadline);
+    self->SetTimer(self->WriteBy());
     // Bytes that the peer sends before it has the request cannot be the response.
     if (!self->IsQuiescent()) return self->Fail(AttemptOutcome::kConnectFailure);
     self->WriteRequest();
@@ -82,10 +85,14 @@
 void BackendConnection::Reuse() {
   Error ignored;
   socket_.cancel(ignored);  // ends StartIdle's wait for a close by the backend
-  SetTimer(attempt_.deadline);
+  SetTimer(WriteBy());
   WriteRequest();
 }
 
+Steady::time_point BackendConnection::WriteBy() const {
+  return std::min(attempt_.deadline, attempt_.send_by);
+}
+
 void BackendConnection::WriteRequest() {
   EnterState(ConnectionState::kWritingRequest);
   writer_.Write();
@@ -93,11 +100,14 @@
 
 void BackendConnection::OnRequestWritten() {
   EnterState(ConnectionState::kAwaitingResponse);
+  LogRequestWritten();
   if (attempt_.upload) {
     writer_.Clear();
     attempt_.written_at = Steady::now();
     attempt_.deadline = attempt_.written_at + attempt_.timeout;
     SetTimer(attempt_.deadline);
+  } else if (attempt_.send_by < attempt_.deadline) {
+    SetTimer(attempt_.deadline);
   }
   socket_.async_wait(Tcp::socket::wait_read,
                      [self = shared_from_this(), id = attempt_id_](const Error& error) {
@@ -109,6 +119,14 @@
                      });
 }
 
+void BackendConnection::LogRequestWritten() const {
+  if (!log::Global().Enabled(log::Level::kDebug)) return;
+  log::Global().Debug(log::events::kRequestWritten,
+                      {{log::fields::kBackend, backend_},
+                       {log::fields::kId, std::string((*attempt_.request)["Req-Id"])},
+                       {log::fields::kDurationMs, Duration(Steady::now() - attempt_.started_at).count()}});
+}
+
 // Limits the time between reads of a response: a backend that stops halfway may keep its connection open.
 void BackendConnection::RestartResponseTimer() {
   SetTimer(std::min(attempt_.deadline, Steady::now() + timeouts().response_stall));
@@ -169,6 +187,8 @@
 void BackendConnection::OnTimer() {
   // Without an attempt in progress, the idle timeout or a streamed response's stall timeout has expired.
   if (!attempt_.in_progress()) return Close();
+  if (!IsRequestWritten(state_) && !attempt_.MayBeWritten(Steady::now()))
+    return Fail(AttemptOutcome::kNotSent);
   const bool deadline_reached = timer_.expiry() >= attempt_.deadline;
   Fail(OutcomeOfTimeout(state_, deadline_reached));
 }
--- a/src/proxy/upstream/backend_connection.h
+++ b/src/proxy/upstream/backend_connection.h
@@ -89,6 +89,9 @@
 
   void EnterState(ConnectionState state);
   void WriteRequest();
+  // @return until when the request may be written.
+  Steady::time_point WriteBy() const;
+  void LogRequestWritten() const;
   void OnTimer();
   void EndStream();
   void Clear();
--- a/src/proxy/upstream/backend_pool.cpp
+++ b/src/proxy/upstream/backend_pool.cpp
@@ -83,18 +83,21 @@
 }
 
 BackendPool::AttemptHandle BackendPool::SendRequest(BackendId id, std::shared_ptr<const HttpRequest> request,
-                                                    Duration timeout, AttemptCallback on_completed,
+                                                    const AttemptLimits& limits, AttemptCallback on_completed,
                                                     std::shared_ptr<RequestBodyStream> upload) {
   Backend& backend = backends_[id];
   std::shared_ptr<BackendConnection> connection = TakeIdle(backend);
   const bool reused = connection != nullptr;
   if (!reused) connection = AddConnection(id, backend);
-  const auto attempt_timeout = std::chrono::ceil<Steady::duration>(timeout);
+  const auto attempt_timeout = std::chrono::ceil<Steady::duration>(limits.timeout);
+  const auto now = Steady::now();
   connection->Assign({.request = std::move(request),
                       .upload = std::move(upload),
                       .on_completed = std::move(on_completed),
+                      .started_at = now,
                       .timeout = attempt_timeout,
-                      .deadline = Steady::now() + attempt_timeout});
+                      .deadline = now + attempt_timeout,
+                      .send_by = limits.send_by});
   if (reused) {
     connection->Reuse();
   } else if (backend.address.port() == 0) {
--- a/src/proxy/upstream/backend_pool.h
+++ b/src/proxy/upstream/backend_pool.h
@@ -54,10 +54,9 @@
     std::uint64_t attempt_id = 0;
   };
   // Starts an attempt: sends the request as received, with an updated deadline field. `upload` is the rest of
-  // a large body; `timeout` then counts from its last byte. `on_completed` is called once, never within this
-  // call and not after the pool's destruction.
-  AttemptHandle SendRequest(BackendId backend, std::shared_ptr<const HttpRequest> request, Duration timeout,
-                            AttemptCallback on_completed,
+  // a large body. `on_completed` is called once, never within this call and not after the pool's destruction.
+  AttemptHandle SendRequest(BackendId backend, std::shared_ptr<const HttpRequest> request,
+                            const AttemptLimits& limits, AttemptCallback on_completed,
                             std::shared_ptr<RequestBodyStream> upload = nullptr);
   // Ends the attempt as kNotSent, from the event loop, unless its request is completely written.
   void CancelUnsent(const AttemptHandle& handle);
--- a/src/proxy/upstream/request_writer.cpp
+++ b/src/proxy/upstream/request_writer.cpp
@@ -74,6 +74,8 @@
   const auto body = attempt.upload ? asio::const_buffer() : asio::buffer(attempt.request->body());
   const std::size_t size = buffer_.size() + body.size();
   while (position_ < size) {
+    // Checked before each write, as the connection or the room for the rest may have come late.
+    if (!attempt.MayBeWritten(Steady::now())) return connection_.FailSoon(AttemptOutcome::kNotSent);
     const std::size_t in_buffer = std::min(position_, buffer_.size());
     const std::array<asio::const_buffer, 2> rest{asio::buffer(buffer_) + in_buffer,
                                                  body + (position_ - in_buffer)};
--- a/tests/decision/retry_scenarios_test.cpp
+++ b/tests/decision/retry_scenarios_test.cpp
@@ -81,6 +81,32 @@
   }
 }
 
+// Guards against a second execution: the retry may be written much later than it is decided, so it carries
+// the latest time for that, 150 ms before the end of the 500 ms window of the first attempt that may have
+// run.
+TEST(Retry, IdempotencyKeyRetryCarriesTheTimeToBeSentBy) {
+  BalancerHarness harness;
+  harness.SetBackends(3);
+  const RequestId id = next_request_id++;
+  const auto first = harness.SubmitRequest(id, 1);
+  EXPECT_GT(harness.attempts.back().send_by, At(harness.now + 1e9)) << "the first attempt has no limit";
+  const double first_started = harness.now;
+  harness.now += 100;
+  harness.CompleteAttempt(id, 0, *first, AttemptOutcome::kServerError);
+  const auto second = harness.AttemptBackend(id);
+  ASSERT_TRUE(second.has_value());
+  EXPECT_EQ(harness.attempts.back().send_by, At(first_started + 350));
+  harness.now += 100;
+  harness.CompleteAttempt(id, 1, *second, AttemptOutcome::kServerError);
+  ASSERT_TRUE(harness.AttemptBackend(id).has_value());
+  EXPECT_EQ(harness.attempts.back().send_by, At(first_started + 350)) << "the window does not start again";
+  harness.now += 150;
+  harness.CompleteAttempt(id, 2, *harness.AttemptBackend(id), AttemptOutcome::kNotSent);
+  EXPECT_FALSE(harness.AttemptBackend(id).has_value());
+  EXPECT_EQ(harness.CountActions<FailRequest>(), 1)
+      << "an attempt that was not sent in time ends the request";
+}
+
 // The balancer sends no hedged requests.
 TEST(Retry, HasOneAttemptAtATime) {
   BalancerHarness harness;
--- a/tests/decision/retry_test.cpp
+++ b/tests/decision/retry_test.cpp
@@ -71,18 +71,44 @@
 TEST_F(RetryPolicyTest, RepeatsAKeyedRequestOnlyWhereAndWhileTheDuplicateIsRecognised) {
   settings_.idempotency = Idempotency::kIdempotencyKey;
   settings_.deduplication_scope = DeduplicationScope::kZone;
-  settings_.deduplication_window = Duration(200);
+  settings_.deduplication_window = Duration(500);
   Ended(AttemptOutcome::kServerError);
   EXPECT_TRUE(At100().may_dispatch);
   EXPECT_EQ(At100().deduplication_anchor, BackendIndex{7});
   EXPECT_FALSE(At100().may_reject);
-  EXPECT_TRUE(policy_.PermissionFor(request_, settings_, At(180)).may_dispatch);
-  EXPECT_FALSE(policy_.PermissionFor(request_, settings_, At(181)).may_dispatch)
-      << "a retry may start within 0.9 of the deduplication window";
   settings_.deduplication_scope = DeduplicationScope::kAll;
   EXPECT_TRUE(At100().may_reject) << "every backend recognises the client's retry as a duplicate";
 }
 
+// Guards against a second execution: the process may be suspended for 150 ms after it has read the clock, and
+// the retry must be written within the deduplication window all the same, whatever the window's length.
+TEST_F(RetryPolicyTest, RepeatsAKeyedRequestUntilASuspensionCouldTakeItPastTheWindow) {
+  settings_.idempotency = Idempotency::kIdempotencyKey;
+  Ended(AttemptOutcome::kConnectFailure, -50);  // has not run, and does not start the window
+  Ended(AttemptOutcome::kServerError, 20);
+  for (const double window_ms : {160.0, 200.0, 500.0, 900.0}) {
+    settings_.deduplication_window = Duration(window_ms);
+    const double last_ms = 20 + window_ms - 150;
+    const auto permission = policy_.PermissionFor(request_, settings_, At(last_ms - 0.1));
+    EXPECT_TRUE(permission.may_dispatch) << window_ms;
+    EXPECT_EQ(permission.send_by, At(last_ms)) << window_ms;
+    EXPECT_FALSE(policy_.PermissionFor(request_, settings_, At(last_ms)).may_dispatch) << window_ms;
+  }
+}
+
+TEST_F(RetryPolicyTest, OnlyARepeatOfAKeyedRequestHasATimeToBeSentBy) {
+  settings_.deduplication_window = Duration(500);
+  for (const auto idempotency : {Idempotency::kIdempotent, Idempotency::kIdempotencyKey}) {
+    settings_.idempotency = idempotency;
+    EXPECT_EQ(At100().send_by, kNever) << "the first attempt";
+  }
+  Ended(AttemptOutcome::kBackendRejected);
+  EXPECT_EQ(At100().send_by, kNever) << "no attempt has run";
+  settings_.idempotency = Idempotency::kIdempotent;
+  Ended(AttemptOutcome::kServerError);
+  EXPECT_EQ(At100().send_by, kNever) << "an idempotent request";
+}
+
 TEST(DeduplicationScope, CellIsPartOfItsZone) {
   Endpoint anchor, other;
   anchor.zone = 1;
@@ -143,5 +169,13 @@
   EXPECT_EQ(AttemptTimeoutFor(inputs_), Duration(0));
 }
 
+// An attempt that is cancelled when its request may not be sent again fails the request for nothing.
+TEST_F(AttemptTimeoutTest, IsNoneWhereTheRetryWouldStartAfterTheDeduplicationWindow) {
+  inputs_.retry_by = At(100);
+  EXPECT_EQ(AttemptTimeoutFor(inputs_), Duration(0));
+  inputs_.retry_by = At(101);
+  EXPECT_EQ(AttemptTimeoutFor(inputs_), Duration(100));
+}
+
 }  // namespace
 }  // namespace copperpoint
--- a/tests/proxy/action_executor_test.cpp
+++ b/tests/proxy/action_executor_test.cpp
@@ -58,7 +58,8 @@
   proxy::RequestTable requests_{observer_};
   proxy::BackendPool backends_{io_, {}};
   proxy::DiscoveryClient discovery_{io_, {}, [](const proxy::EndpointList&) {}, [] {}};
-  ActionExecutor executor_{{kMaxAttempts, Duration(7)}, requests_, backends_, discovery_, sink_};
+  proxy::BalancerClock clock_;
+  ActionExecutor executor_{{kMaxAttempts, Duration(7)}, clock_, requests_, backends_, discovery_, sink_};
   std::shared_ptr<RecordingResponder> responder_ = std::make_shared<RecordingResponder>();
 };
 
@@ -81,6 +82,27 @@
   EXPECT_EQ(observer_.completed[0].attempts, 1);
 }
 
+// Guards against a retry that is written after the backends have forgotten its idempotency key: the time to
+// be sent by, in the Balancer's clock, reaches the connection, and the Balancer learns that nothing was sent.
+TEST_F(ActionExecutorTest, AttemptIsNotSentAfterTheTimeToBeSentBy) {
+  Backend backend("served");
+  backends_.SetEndpoint(kBackend, backend.address(), 0);
+  const RequestId id = Add();
+  StartAttempt late = Start(id);
+  late.send_by = clock_.Now();
+  executor_.Execute(late);
+  RunUntilCompleted(1);
+  EXPECT_EQ(last().outcome, AttemptOutcome::kNotSent);
+  EXPECT_FALSE(last().request_completed);
+  EXPECT_TRUE(responder_->calls.empty());
+  StartAttempt in_time = Start(id);
+  in_time.send_by = clock_.Now() + Duration(kLongTime);
+  executor_.Execute(in_time);
+  RunUntilCompleted(2);
+  EXPECT_EQ(last().outcome, AttemptOutcome::kSuccess);
+  EXPECT_EQ(backend.activity.Get().requests.size(), 1u) << "only the attempt that was in time";
+}
+
 TEST_F(ActionExecutorTest, RequestThatTheBackendRejectsGetsItsStatus) {
   Backend backend([](Tcp::socket& socket, const HttpRequest&) {
     SendRaw(socket, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
--- a/tests/proxy/attempts_test.cpp
+++ b/tests/proxy/attempts_test.cpp
@@ -15,6 +15,7 @@
 namespace copperpoint::testing {
 namespace {
 
+using proxy::Steady;
 using std::chrono::milliseconds;
 
 class Attempts : public ::testing::Test {
@@ -36,12 +37,33 @@
     return std::make_shared<const HttpRequest>(std::move(request));
   }
 
-  void Send(milliseconds timeout, std::shared_ptr<const HttpRequest> request = Request()) {
+  void Send(const proxy::AttemptLimits& limits, std::shared_ptr<const HttpRequest> request = Request()) {
     result_.reset();
     attempt_handle_ =
-        backends_->SendRequest(kBackend, std::move(request), Duration(timeout),
+        backends_->SendRequest(kBackend, std::move(request), limits,
                                [this](proxy::AttemptResult result) { result_ = std::move(result); });
   }
+  void Send(milliseconds timeout, std::shared_ptr<const HttpRequest> request = Request()) {
+    Send({.timeout = Duration(timeout)}, std::move(request));
+  }
+  // Starts an attempt that must be written within `time`. @return the latest time for its last byte.
+  Steady::time_point SendWithin(milliseconds time, std::shared_ptr<const HttpRequest> request = Request()) {
+    const auto send_by = Steady::now() + time;
+    Send({.timeout = milliseconds(60000), .send_by = send_by}, std::move(request));
+    return send_by;
+  }
+  // Leaves the event loop alone until `at`, as if the process were suspended.
+  static void SuspendUntil(Steady::time_point at) {
+    while (Steady::now() < at) std::this_thread::sleep_until(at);
+  }
+  // Runs the event loop until the peer does not take more bytes of the request.
+  void RunUntilBlocked() {
+    for (int idle_polls = 0; idle_polls < 20; ++idle_polls) {
+      io_.restart();
+      while (io_.poll() > 0) idle_polls = 0;
+      SleepWithoutPolling(milliseconds(1));
+    }
+  }
   Tcp::socket Accept() {
     Tcp::socket socket(peer_io_);
     acceptor_.accept(socket);
@@ -102,11 +124,7 @@
                                          milliseconds timeout) {
     Send(timeout, request);
     Tcp::socket peer = Accept();
-    for (int idle_polls = 0; idle_polls < 20; ++idle_polls) {  // until the event loop has nothing to do
-      io_.restart();
-      while (io_.poll() > 0) idle_polls = 0;
-      SleepWithoutPolling(milliseconds(1));
-    }
+    RunUntilBlocked();
     return peer;
   };
   std::size_t buffered_bytes = 0;
@@ -131,6 +149,80 @@
   EXPECT_GT(complete_writes, 0) << "no write completed in the turn of the timer";
 }
 
+// Guards against a second execution: a retry was written although its connection, or the process, was held up
+// until the backends had forgotten the idempotency key. The connection is established in time, and the event
+// loop does not get to it before the time to be sent by.
+TEST_F(Attempts, WritesNothingWhenHeldUpPastTheTimeToBeSentBy) {
+  const auto send_by = SendWithin(milliseconds(30));
+  Tcp::socket peer = Accept();
+  SuspendUntil(send_by);
+  ASSERT_TRUE(RunUntilCompleted());
+  EXPECT_EQ(result_->outcome, AttemptOutcome::kNotSent) << "the backend is not at fault";
+  EXPECT_FALSE(result_->local_failure);
+  EXPECT_EQ(ReadToEnd(peer).bytes, "");
+}
+
+TEST_F(Attempts, WritesNothingToAnIdleConnectionAfterTheTimeToBeSentBy) {
+  Send(milliseconds(60000));
+  Tcp::socket peer = Accept();
+  ASSERT_TRUE(StepUntil(io_, [&] { return !ReadAvailable(peer).bytes.empty(); }));
+  SendRaw(peer, OkResponse("one"));
+  ASSERT_TRUE(RunUntilCompleted());
+  ASSERT_EQ(backends_->connection_count(), 1u);
+  SendWithin(milliseconds(0));
+  ASSERT_TRUE(RunUntilCompleted());
+  EXPECT_EQ(result_->outcome, AttemptOutcome::kNotSent);
+  EXPECT_EQ(ReadToEnd(peer).bytes, "");
+}
+
+// The last byte counts: a request that is partly written at the time to be sent by is not completed.
+TEST_F(Attempts, LeavesARequestIncompleteThatIsPartlyWrittenAtTheTimeToBeSentBy) {
+  const auto request = Request(std::string(64 * 1024 * 1024, 'y'));
+  const auto send_by = SendWithin(milliseconds(500), request);
+  Tcp::socket peer = Accept();
+  RunUntilBlocked();
+  SuspendUntil(send_by);
+  std::string bytes = ReadAvailable(peer).bytes;  // makes room for more
+  EXPECT_FALSE(bytes.empty());
+  ASSERT_TRUE(RunUntilCompleted());
+  EXPECT_EQ(result_->outcome, AttemptOutcome::kNotSent);
+  bytes += ReadToEnd(peer).bytes;
+  EXPECT_FALSE(IsComplete(bytes, *request));
+}
+
+// A connection that never comes up: the request is free for its final response at the time to be sent by,
+// before the connect timeout of a minute.
+TEST_F(Attempts, StopsConnectingAtTheTimeToBeSentBy) {
+  const FullBacklogListener silent;
+  backends_->SetEndpoint(kBackend, silent.address(), 0);
+  const auto send_by = SendWithin(milliseconds(30));
+  ASSERT_TRUE(RunUntilCompleted());
+  EXPECT_GE(Steady::now(), send_by);
+  EXPECT_EQ(result_->outcome, AttemptOutcome::kNotSent);
+}
+
+// What the limit still allows: a request that is written in time may be answered after the time to be sent
+// by, on a new connection and on an idle one.
+TEST_F(Attempts, AwaitsTheResponseBeyondTheTimeToBeSentBy) {
+  std::optional<Tcp::socket> peer;
+  for (const char* const answer : {"one", "two"}) {
+    const auto send_by = SendWithin(milliseconds(1000));
+    if (!peer) peer = Accept();
+    std::string bytes;
+    ASSERT_TRUE(StepUntil(io_, [&] {
+      bytes += ReadAvailable(*peer).bytes;
+      return IsComplete(bytes, *Request());
+    }));
+    SuspendUntil(send_by);
+    RunUntilBlocked();  // handles the timer, if one is left
+    ASSERT_FALSE(result_.has_value());
+    SendRaw(*peer, OkResponse(answer));
+    ASSERT_TRUE(RunUntilCompleted());
+    EXPECT_EQ(result_->outcome, AttemptOutcome::kSuccess);
+    EXPECT_EQ(result_->response.body(), answer);
+  }
+}
+
 TEST_F(Attempts, WritesNothingWhenCancelledAsItsConnectionIsReady) {
   Send(milliseconds(60000));
   Tcp::socket peer = Accept();  // established, but not handled by the event loop yet
--- a/tests/proxy/connection_pool_test.cpp
+++ b/tests/proxy/connection_pool_test.cpp
@@ -107,8 +107,8 @@
     results.push_back(std::move(r));
     release.Update([](bool& go) { go = true; });
   };
-  backends.SendRequest(1, message, Duration(60000), on_completed);
-  backends.SendRequest(1, message, Duration(60000), on_completed);
+  backends.SendRequest(1, message, {Duration(60000)}, on_completed);
+  backends.SendRequest(1, message, {Duration(60000)}, on_completed);
   while (results.size() < 2) io.run_one();
   EXPECT_EQ(results[0].outcome, AttemptOutcome::kNotSent);  // it never ran, and the backend is not at fault
   EXPECT_TRUE(results[0].local_failure);
--- a/tests/proxy/retry_safety_test.cpp
+++ b/tests/proxy/retry_safety_test.cpp
@@ -3,11 +3,14 @@
 // A request that may have run must not be sent to another backend unless it is idempotent.
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
-#include "support/loopback.h"
+#include "support/scripted.h"
 
 namespace copperpoint::testing {
 namespace {
@@ -72,6 +75,56 @@
   EXPECT_LE(received_requests.Get(), 5);
 }
 
+const char kServerError[] = "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n";
+
+// Guards against a booking that runs twice: the retry of a request with an idempotency key was decided within
+// the deduplication window, and written after it because its connection came up late.
+TEST(RetrySafety, KeyedRequestIsNotSentAgainWhenTheConnectionComesUpAfterTheWindow) {
+  constexpr std::chrono::milliseconds kWindow{800};
+  FullBacklogListener late;
+  WaitableValue<bool> late_is_listed;
+  Backend failing([&](Tcp::socket& s, const HttpRequest&) {
+    late_is_listed.WaitFor([](bool listed) { return listed; });
+    SendRaw(s, kServerError);
+    return true;
+  });
+  ProxySetup setup(Members(MemberJson("s-1", failing.address())));
+  for (auto& settings : setup.config["settings"]["classes"]) settings["windowMs"] = kWindow.count();
+  setup.Start();
+  ASSERT_TRUE(setup.discovery.WaitForWatches(1));
+  Client client(setup.proxy->address);
+  client.Send(ChangeRequest());
+  ASSERT_TRUE(failing.WaitForRequests(1));
+  const auto window_end = std::chrono::steady_clock::now() + kWindow;
+  setup.discovery.Push(ListJson(42, false, Members(MemberJson("s-2", late.address()))));
+  ASSERT_TRUE(setup.proxy->WaitUntil([](proxy::Proxy& p) { return p.backends_known() == 2; }));
+  late_is_listed.Update([](bool& listed) { listed = true; });
+  std::this_thread::sleep_until(window_end);
+  std::optional<Tcp::socket> connection = late.AcceptUnless([&] { return client.socket.available() > 0; });
+  if (connection) SendRaw(*connection, OkResponse("ran again"));
+  EXPECT_EQ(client.Read().result_int(), 502u) << "the request may have run, and may not be sent again";
+  if (connection) {
+    EXPECT_EQ(ReadAvailable(*connection).bytes, "") << "sent again after the window";
+  }
+}
+
+// What the window still allows.
+TEST(RetrySafety, KeyedRequestIsSentAgainWithinTheWindow) {
+  WaitableValue<int> received_requests;
+  const auto fail_first = [&](Tcp::socket& s, const HttpRequest&) {
+    int n = 0;
+    received_requests.Update([&](int& received) { n = ++received; });
+    SendRaw(s, n == 1 ? kServerError : OkResponse("second"));
+    return true;
+  };
+  Backend one(fail_first), two(fail_first);
+  ProxySetup setup(Members(MemberJson("s-1", one.address()), MemberJson("s-2", two.address())));
+  setup.Start();
+  Client client(setup.proxy->address);
+  EXPECT_EQ(client.SendAndRead(ChangeRequest()).body(), "second");
+  EXPECT_EQ(received_requests.Get(), 2);
+}
+
 TEST(RetrySafety, TimeoutClosesTheConnectionAndDropsALateResponse) {
   WaitableValue<bool> release, released;
   Backend backend([&](Tcp::socket& s, const HttpRequest& r) {
--- a/tests/support/scripted.h
+++ b/tests/support/scripted.h
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -16,8 +17,8 @@
 
 namespace copperpoint::testing {
 
-// A listening socket to which connections are never established: its accept queue is full, so that the kernel
-// drops further connection requests.
+// A listening socket to which connections are not established until AcceptUnless is called: its accept queue
+// is full, so that the kernel drops further connection requests.
 class FullBacklogListener {
  public:
   FullBacklogListener() : acceptor_(io_), filler_(io_) {
@@ -28,6 +29,21 @@
   }
   Tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
+  // Makes room in the accept queue, and accepts the next connection, whose client repeats its connection
+  // request a second after the first one. @return nullopt if `condition` holds before it is established.
+  template <typename Condition>
+  std::optional<Tcp::socket> AcceptUnless(Condition condition) {
+    acceptor_.accept();  // the filler
+    acceptor_.non_blocking(true);
+    Tcp::socket socket(io_);
+    error_code would_block;
+    while (acceptor_.accept(socket, would_block), would_block) {
+      if (condition()) return std::nullopt;
+      std::this_thread::yield();
+    }
+    return socket;
+  }
+
  private:
   asio::io_context io_;
   Tcp::acceptor acceptor_;
