Requests read during a shutdown have their answer before SIGKILL

Cause: the shutdown reads requests until 2.1 s after SIGTERM and forwarded them with their client's deadline, which ends after SIGKILL (the longest deadline, at most 3 s, plus 0.7 s). Streamed bodies had the same fault twice: their time begins with the last byte, and an incomplete one was waited for at its own rate. With short deadlines, SIGKILL even comes before the read grace ends.

Evidence: trace in docs/incidents. A request is read and forwarded 1801 ms after SIGTERM, and the log has nothing further of it until SIGKILL at 3751 ms.

Change: ShutdownResponseTime is the time of SIGKILL from the settings, less 0.15 s for a suspension and 50 ms. What is read after SIGTERM gets it as its latest answer, beside the deadline: the decision module takes a short deadline for a client that has waited for long, and would reject the request on arrival. Streamed bodies end with it, and reading does. Requests read before SIGTERM keep their deadline.

--- a/include/copperpoint/balancer.h
+++ b/include/copperpoint/balancer.h
@@ -150,7 +150,8 @@
 // A client's request. It gets exactly one final answer: a successful attempt, RejectRequest or FailRequest.
 struct RequestReceived {
   RequestId request = 0;
-  TimePoint deadline{};  // when the client gives up
+  TimePoint deadline{};                    // when the client gives up
+  TimePoint answer_by = TimePoint::max();  // when the proxy must have answered because it shuts down
   int request_class = 0;
   int tenant = 0;
   std::uint64_t key = 0;           // key for affinity; 0: none
--- a/src/decision/request_admission.cpp
+++ b/src/decision/request_admission.cpp
@@ -59,7 +59,7 @@
   request.tenant = received.tenant;
   request.key = received.key;
   request.received_at = state_.now;
-  request.deadline = received.deadline;
+  request.deadline = std::min(received.deadline, received.answer_by);
   request.fingerprint = FingerprintOf(received);
   request.logical_request = state_.client_retries.OnReceived(request.fingerprint, state_.now);
   ++state_.overload_counts.received;
--- a/src/proxy/core/request_receiver.cpp
+++ b/src/proxy/core/request_receiver.cpp
@@ -30,6 +30,7 @@
 RequestId RequestReceiver::OnRequest(ClientRequest request, std::shared_ptr<Responder> responder) {
   RequestReceived event;
   event.deadline = clock_.At(request.deadline);
+  event.answer_by = clock_.At(request.answer_by);
   event.request_class = request.request_class;
   event.tenant = request.tenant;
   event.key = request.affinity_key;
--- a/src/proxy/core/request_table.cpp
+++ b/src/proxy/core/request_table.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "proxy/core/request_table.h"
 
+#include <algorithm>
 #include <exception>
 #include <utility>
 
@@ -32,7 +33,7 @@
   const RequestId id = ++last_id_;
   OpenRequest& open = requests_[id];
   open.received_at = Steady::now();
-  open.deadline = request.deadline;
+  open.deadline = std::min(request.deadline, request.answer_by);
   open.request_class = request.request_class;
   open.tenant = request.tenant;
   open.estimated_work_ms = request.estimated_work_ms;
--- a/src/proxy/core/request_table.h
+++ b/src/proxy/core/request_table.h
@@ -25,7 +25,7 @@
   std::shared_ptr<const HttpRequest> message;
   std::shared_ptr<RequestBodyStream> upload;  // the rest of a large body; null if `message` is complete
   Steady::time_point received_at{};
-  Steady::time_point deadline{};
+  Steady::time_point deadline{};  // when the client gives up or, if earlier, this process must have answered
   int request_class = -1;
   int tenant = -1;
   double estimated_work_ms = 0;          // 0: the client gave no estimate
--- a/src/proxy/downstream/client_listener.cpp
+++ b/src/proxy/downstream/client_listener.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "proxy/downstream/client_listener.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <chrono>
 #include <utility>
@@ -117,13 +118,14 @@
   if (handed_over && acceptor_.is_open()) ScheduleAccept();
 }
 
-void ClientListener::ShutDown(Duration grace, std::function<void()> done) {
+void ClientListener::ShutDown(Steady::time_point accept_until, Steady::time_point answer_by,
+                              std::function<void()> done) {
   if (sessions_.shutting_down()) return;
-  sessions_.StartShutdown();
+  sessions_.StartShutdown(answer_by);
   on_shutdown_done_ = std::move(done);
   // No queued connection is lost: the other process accepts from the same queue.
   if (sessions_.handed_over()) CloseListener(/*at_once=*/true);
-  shutdown_timer_.expires_after(std::chrono::ceil<Steady::duration>(grace));
+  shutdown_timer_.expires_at(std::min(accept_until, answer_by));
   shutdown_timer_.async_wait([this](const Error& cancelled) {
     if (!cancelled) ContinueShutdown();
   });
@@ -146,7 +148,9 @@
 // of the connection.
 void ClientListener::ContinueShutdown() {
   const auto now = Steady::now();
-  if (!std::exchange(closing_, true)) read_grace_end_ = now + kShutdownReadGrace;
+  if (!std::exchange(closing_, true)) {
+    read_grace_end_ = std::min<Steady::time_point>(now + kShutdownReadGrace, sessions_.answer_by());
+  }
   const bool read_grace_over = now >= read_grace_end_;
   CloseListener(read_grace_over);
   const bool listening = acceptor_.is_open();
--- a/src/proxy/downstream/client_listener.h
+++ b/src/proxy/downstream/client_listener.h
@@ -30,9 +30,11 @@
   ClientListener(const ClientListener&) = delete;
   ClientListener& operator=(const ClientListener&) = delete;
 
-  // Graceful shutdown. Each connection closes after its next response, and new ones are accepted until
-  // `grace` has passed. `done` is called when all responses are delivered and the listening socket is closed.
-  void ShutDown(Duration grace, std::function<void()> done);
+  // Graceful shutdown. Each connection closes after its next response. `done` is called when all responses
+  // are delivered and the listening socket is closed. @param accept_until when new connections are no longer
+  // accepted. @param answer_by when the response to every request that is read from now on must be written;
+  // a request that is not read completely by then is not served.
+  void ShutDown(Steady::time_point accept_until, Steady::time_point answer_by, std::function<void()> done);
 
   // While draining, idle connections are closed, and the others close after their next response; new
   // connections are still accepted.
--- a/src/proxy/downstream/client_session.cpp
+++ b/src/proxy/downstream/client_session.cpp
@@ -110,6 +110,7 @@
   const auto id = request.message["Req-Id"];
   if (manager_->handler().IsRequestOpen({id.data(), id.size()}))
     return OnInvalidRequest(http::status::conflict, "Req-Id is that of an open request");
+  request.answer_by = manager_->answer_by();
   ForwardRequest(std::move(request));
 }
 
@@ -162,6 +163,10 @@
   handler.OnClientDisconnected(request);
 }
 
+void ClientSession::RejectStreamedBody() {
+  FailStreamedBody(http::status::service_unavailable, "shutting down; trying again is harmless");
+}
+
 void ClientSession::Read(OnBodyChunk on_chunk) {
   asio::post(socket_.get_executor(), [self = shared_from_this(), on_chunk = std::move(on_chunk)]() mutable {
     if (!self->IsAwaitingResponse() || !self->reader_.body_streaming()) return on_chunk(false, {}, true);
--- a/src/proxy/downstream/client_session.h
+++ b/src/proxy/downstream/client_session.h
@@ -49,6 +49,8 @@
   // Queries by which SessionManager selects the connections to evict or close.
   bool IsIdle() const;  // waits for a request, of which no byte has arrived
   bool IsReadingRequest() const { return state_ == SessionState::kReadingRequest; }
+  // The request is being forwarded, and its body is not read completely.
+  bool IsReadingStreamedBody() const { return IsAwaitingResponse() && reader_.body_streaming(); }
   bool IsAwaitingResponse() const { return state_ == SessionState::kAwaitingResponse; }
   bool IsWritingResponse() const { return state_ == SessionState::kWritingResponse; }
   bool IsLingering() const { return state_ == SessionState::kLingering; }
@@ -63,6 +65,9 @@
   // Enforces the time limit of the current state.
   void OnDeadlineCheck(Steady::time_point now);
 
+  // Ends the request of IsReadingStreamedBody: 503, as no backend can have run an incomplete request.
+  void RejectStreamedBody();
+
   void Close();
   // Lingering close: shuts down the sending side and discards received bytes until the client closes. Closing
   // a socket while received bytes are unread, or more are in transit, resets the connection, and the reset
--- a/src/proxy/downstream/session_manager.cpp
+++ b/src/proxy/downstream/session_manager.cpp
@@ -123,12 +123,18 @@
   }
 }
 
+void SessionManager::StartShutdown(Steady::time_point answer_by) {
+  shutting_down_ = true;
+  answer_by_ = answer_by;
+}
+
 bool SessionManager::CloseForShutdown(Steady::time_point now, bool read_grace_over) {
   bool unfinished = false;
   for (auto it = sessions_.begin(); it != sessions_.end();) {
     const auto session = *it++;
     const bool is_unneeded = session->IsIdle() && (read_grace_over || !MayBeAboutToSend(*session, now));
     if (is_unneeded || (session->ExpectsRequest() && read_grace_over)) session->CloseLingering();
+    if (now >= answer_by_ && session->IsReadingStreamedBody()) session->RejectStreamedBody();
     unfinished |= session->HasUndeliveredResponse() || session->ExpectsRequest();
   }
   return unfinished;
--- a/src/proxy/downstream/session_manager.h
+++ b/src/proxy/downstream/session_manager.h
@@ -47,12 +47,16 @@
   void SetDraining(bool draining);
   // While another process accepts connections, this process's connections close after their next response.
   void set_handed_over(bool handed_over) { handed_over_ = handed_over; }
-  void StartShutdown() { shutting_down_ = true; }
+  // @param answer_by when the response to every request that is read from now on must be written.
+  void StartShutdown(Steady::time_point answer_by);
   // Performs one step of the shutdown at `now`: closes idle connections and, with `read_grace_over`, those
-  // with partly read requests. @return true while a response is undelivered or a request is expected.
+  // with partly read requests; from answer_by() on, rejects requests whose streamed body is incomplete.
+  // @return true while a response is undelivered or a request is expected.
   bool CloseForShutdown(Steady::time_point now, bool read_grace_over);
 
   bool shutting_down() const { return shutting_down_; }
+  // @return the latest time for the response to a request that is read now; no limit unless shutting down.
+  Steady::time_point answer_by() const { return answer_by_; }
   bool handed_over() const { return handed_over_; }
   bool closes_after_response() const { return shutting_down_ || draining_ || handed_over_; }
   std::size_t connection_count() const { return sessions_.size(); }
@@ -80,6 +84,7 @@
   ClientSession::List sessions_;  // ordered by the time of the last state change, oldest first
   bool capacity_awaited_ = false;
   bool shutting_down_ = false, draining_ = false, handed_over_ = false;
+  Steady::time_point answer_by_ = Steady::time_point::max();
 };
 
 }  // namespace copperpoint::proxy
--- a/src/proxy/http/client_request.h
+++ b/src/proxy/http/client_request.h
@@ -18,7 +18,9 @@
 struct ClientRequest {
   HttpRequest message;                      // as it is forwarded; `body_stream` may yield more of its body
   std::shared_ptr<BodySource> body_stream;  // null if the body is complete
-  Steady::time_point deadline{};
+  Steady::time_point deadline{};            // when the client gives up
+  // When this process must have answered, because it shuts down.
+  Steady::time_point answer_by = Steady::time_point::max();
   int request_class = 0;           // index in Config::classes
   int tenant = 0;                  // index in Config::tenants
   std::uint64_t affinity_key = 0;  // hash of the object that the request concerns; 0: none
--- a/src/proxy/lifecycle/lifecycle.h
+++ b/src/proxy/lifecycle/lifecycle.h
@@ -23,11 +23,15 @@
 //
 // Graceful shutdown (SIGTERM or SIGINT, Proxy::Stop): new connections are accepted for a grace period
 // longer, since callers that have not noticed yet keep sending; every request in flight and every request
-// that arrives on an open connection is forwarded and answered as usual, with its own deadline, and its
-// connection closes after the response. The process exits when no client connection is left. No request is
-// cancelled because of the signal. A request that is still being read when the grace period ends has
-// kShutdownReadGrace (client_listener.cpp) longer; then its connection closes without a response. There is no
-// overall time limit.
+// that arrives on an open connection is forwarded and answered as usual, and its connection closes after the
+// response. The process exits when no client connection is left. No request is cancelled because of the
+// signal. A request that is still being read when the grace period ends has kShutdownReadGrace
+// (client_listener.cpp) longer; then its connection closes without a response.
+//
+// The platform kills the process some time after the signal. Requests that were read before the signal keep
+// their own deadline. A request that is read after it, or whose streamed body ends after it, is answered by
+// ShutdownResponseTime (shutdown_time.h) at the latest, if necessary before its client's deadline; one that
+// is not read completely by then gets 503 or the end of its connection.
 class Lifecycle {
  public:
   enum class State { kStarting, kReady, kDrainingNotStarted, kDraining, kShuttingDown };
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "log/log.h"
+#include "proxy/lifecycle/shutdown_time.h"
 
 namespace copperpoint::proxy {
 namespace {
@@ -99,11 +100,15 @@
 }
 
 void Proxy::Stop(std::function<void()> done) {
+  const auto now = Steady::now();
+  const auto after = [now](Duration time) { return now + std::chrono::ceil<Steady::duration>(time); };
+  const auto answer_by = after(ShutdownResponseTime(config_.settings.classes));
   lifecycle_.StartShutdown();
   membership_.Leave();
   handover_.Cancel();
   if (!clients_) return done();
-  clients_->ShutDown(kShutdownAcceptGrace, std::move(done));
+  backends_.SetAnswerBy(answer_by);
+  clients_->ShutDown(after(kShutdownAcceptGrace), answer_by, std::move(done));
 }
 
 void Proxy::StartAccepting(int listener) {
--- a/src/proxy/upstream/backend_connection.cpp
+++ b/src/proxy/upstream/backend_connection.cpp
@@ -104,7 +104,7 @@
   if (attempt_.upload) {
     writer_.Clear();
     attempt_.written_at = Steady::now();
-    attempt_.deadline = attempt_.written_at + attempt_.timeout;
+    attempt_.deadline = std::min(attempt_.written_at + attempt_.timeout, pool_->answer_by());
     SetTimer(attempt_.deadline);
   } else if (attempt_.send_by < attempt_.deadline) {
     SetTimer(attempt_.deadline);
@@ -264,5 +264,6 @@
 }
 
 const Timeouts& BackendConnection::timeouts() const { return pool_->timeouts(); }
+Steady::time_point BackendConnection::answer_by() const { return pool_->answer_by(); }
 
 }  // namespace copperpoint::proxy
--- a/src/proxy/upstream/backend_connection.h
+++ b/src/proxy/upstream/backend_connection.h
@@ -81,6 +81,7 @@
   void SetTimer(Steady::time_point at);
   void RestartResponseTimer();
   const Timeouts& timeouts() const;
+  Steady::time_point answer_by() const;
   bool closed() const { return state_ == ConnectionState::kClosed; }
   bool streaming() const { return state_ == ConnectionState::kStreamingResponse; }
 
--- a/src/proxy/upstream/backend_pool.h
+++ b/src/proxy/upstream/backend_pool.h
@@ -62,6 +62,9 @@
   void CancelUnsent(const AttemptHandle& handle);
 
   void SetConnectionLimit(std::size_t connections) { limits_.max_connections = connections; }
+  // Limits attempts whose request body is still being streamed: a timeout that starts with its last byte ends
+  // at `answer_by` at the latest, as this process is killed soon after.
+  void SetAnswerBy(Steady::time_point answer_by) { answer_by_ = answer_by; }
   void SetTimeouts(const Timeouts& timeouts) { limits_.timeouts = timeouts; }
   std::size_t connection_count() const { return open_connections_; }
   std::size_t connections_opened() const { return connections_opened_; }  // in total
@@ -70,6 +73,7 @@
   // Called by BackendConnection.
   boost::asio::io_context& io() { return io_; }
   const Timeouts& timeouts() const { return limits_.timeouts; }
+  Steady::time_point answer_by() const { return answer_by_; }
   // Keeps the connection for reuse, or closes it if its backend is drained.
   void ReturnToIdle(const std::shared_ptr<BackendConnection>& connection);
   void OnConnectionClosed(const BackendConnection& connection);
@@ -90,6 +94,7 @@
 
   boost::asio::io_context& io_;
   Limits limits_;
+  Steady::time_point answer_by_ = Steady::time_point::max();
   std::unordered_map<BackendId, Backend> backends_;
   std::unordered_map<const BackendConnection*, std::weak_ptr<BackendConnection>> connections_;
   std::size_t open_connections_ = 0, connections_opened_ = 0;
