--- a/include/copperpoint/balancer.h
+++ b/include/copperpoint/balancer.h
@@ -150,7 +150,8 @@
 // A client's request. It gets exactly one final answer: a successful attempt, RejectRequest or FailRequest.
 struct RequestReceived {
   RequestId request = 0;
-  TimePoint deadline{};  // when the client gives up
+  TimePoint deadline{};                    // when the client gives up
+  TimePoint answer_by = TimePoint::max();  // when the proxy must have answered because it shuts down
   int request_class = 0;
   int tenant = 0;
   std::uint64_t key = 0;           // key for affinity; 0: none
@@ -214,6 +215,9 @@
   RequestId request = 0;
   BackendId backend = 0;
   Duration timeout{0};  // 0: no timeout but the client's deadline
+  // Latest time at which the last byte may be written. An attempt that is not written completely by then ends
+  // as kNotSent.
+  TimePoint send_by = TimePoint::max();
 };
 
 // Final answer: the request had no effect, or repeating it has none, so that a client retry is harmless.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "log/log.h"
+#include "proxy/lifecycle/shutdown_time.h"
 
 namespace copperpoint::proxy {
 namespace {
@@ -70,7 +71,7 @@
           [this] {
             dispatcher_.Dispatch(EndpointUpdate{EndpointUpdateKind::kFailed, {}});
           }),
-      executor_({config_.settings.max_attempts, config_.shares.process_limit_retry_after}, requests_,
+      executor_({config_.settings.max_attempts, config_.shares.process_limit_retry_after}, clock_, requests_,
                 backends_, discovery_, dispatcher_),
       receiver_(clock_, requests_, backends_, dispatcher_),
       handover_(io, {StateFile(config_, "handover.sock"), config_.listen, config_.upgrade},
@@ -99,11 +100,15 @@
 }
 
 void Proxy::Stop(std::function<void()> done) {
+  const auto now = Steady::now();
+  const auto after = [now](Duration time) { return now + std::chrono::ceil<Steady::duration>(time); };
+  const auto answer_by = after(ShutdownResponseTime(config_.settings.classes));
   lifecycle_.StartShutdown();
   membership_.Leave();
   handover_.Cancel();
   if (!clients_) return done();
-  clients_->ShutDown(kShutdownAcceptGrace, std::move(done));
+  backends_.SetAnswerBy(answer_by);
+  clients_->ShutDown(after(kShutdownAcceptGrace), answer_by, std::move(done));
 }
 
 void Proxy::StartAccepting(int listener) {
--- a/src/proxy/upstream/backend_connection.h
+++ b/src/proxy/upstream/backend_connection.h
@@ -81,6 +81,7 @@
   void SetTimer(Steady::time_point at);
   void RestartResponseTimer();
   const Timeouts& timeouts() const;
+  Steady::time_point answer_by() const;
   bool closed() const { return state_ == ConnectionState::kClosed; }
   bool streaming() const { return state_ == ConnectionState::kStreamingResponse; }
 
@@ -89,6 +90,9 @@
 
   void EnterState(ConnectionState state);
   void WriteRequest();
+  // @return until when the request may be written.
+  Steady::time_point WriteBy() const;
+  void LogRequestWritten() const;
   void OnTimer();
   void EndStream();
   void Clear();
--- a/src/proxy/upstream/backend_pool.h
+++ b/src/proxy/upstream/backend_pool.h
@@ -54,15 +54,17 @@
     std::uint64_t attempt_id = 0;
   };
   // Starts an attempt: sends the request as received, with an updated deadline field. `upload` is the rest of
-  // a large body; `timeout` then counts from its last byte. `on_completed` is called once, never within this
-  // call and not after the pool's destruction.
-  AttemptHandle SendRequest(BackendId backend, std::shared_ptr<const HttpRequest> request, Duration timeout,
-                            AttemptCallback on_completed,
+  // a large body. `on_completed` is called once, never within this call and not after the pool's destruction.
+  AttemptHandle SendRequest(BackendId backend, std::shared_ptr<const HttpRequest> request,
+                            const AttemptLimits& limits, AttemptCallback on_completed,
                             std::shared_ptr<RequestBodyStream> upload = nullptr);
   // Ends the attempt as kNotSent, from the event loop, unless its request is completely written.
   void CancelUnsent(const AttemptHandle& handle);
 
   void SetConnectionLimit(std::size_t connections) { limits_.max_connections = connections; }
+  // Limits attempts whose request body is still being streamed: a timeout that starts with its last byte ends
+  // at `answer_by` at the latest, as this process is killed soon after.
+  void SetAnswerBy(Steady::time_point answer_by) { answer_by_ = answer_by; }
   void SetTimeouts(const Timeouts& timeouts) { limits_.timeouts = timeouts; }
   std::size_t connection_count() const { return open_connections_; }
   std::size_t connections_opened() const { return connections_opened_; }  // in total
@@ -71,6 +73,7 @@
   // Called by BackendConnection.
   boost::asio::io_context& io() { return io_; }
   const Timeouts& timeouts() const { return limits_.timeouts; }
+  Steady::time_point answer_by() const { return answer_by_; }
   // Keeps the connection for reuse, or closes it if its backend is drained.
   void ReturnToIdle(const std::shared_ptr<BackendConnection>& connection);
   void OnConnectionClosed(const BackendConnection& connection);
@@ -91,6 +94,7 @@
 
   boost::asio::io_context& io_;
   Limits limits_;
+  Steady::time_point answer_by_ = Steady::time_point::max();
   std::unordered_map<BackendId, Backend> backends_;
   std::unordered_map<const BackendConnection*, std::weak_ptr<BackendConnection>> connections_;
   std::size_t open_connections_ = 0, connections_opened_ = 0;
--- a/src/proxy/upstream/request_writer.cpp
+++ b/src/proxy/upstream/request_writer.cpp
@@ -58,11 +58,12 @@
 }
 
 // The attempt's timeout counts from the last byte. Until then, ClientSession limits the time of the client,
-// and the stall timeout of each chunk that of the backend.
+// and the stall timeout of each chunk, or the end of a shutdown, that of the backend.
 void RequestWriter::WriteChunk(std::string bytes, bool last) {
   buffer_ = std::move(bytes);
   position_ = 0;
-  connection_.SetTimer(Steady::now() + connection_.timeouts().body_stall);
+  connection_.SetTimer(std::min<Steady::time_point>(Steady::now() + connection_.timeouts().body_stall,
+                                                    connection_.answer_by()));
   Flush(last);
 }
 
@@ -74,6 +75,8 @@
   const auto body = attempt.upload ? asio::const_buffer() : asio::buffer(attempt.request->body());
   const std::size_t size = buffer_.size() + body.size();
   while (position_ < size) {
+    // Checked before each write, as the connection or the room for the rest may have come late.
+    if (!attempt.MayBeWritten(Steady::now())) return connection_.FailSoon(AttemptOutcome::kNotSent);
     const std::size_t in_buffer = std::min(position_, buffer_.size());
     const std::array<asio::const_buffer, 2> rest{asio::buffer(buffer_) + in_buffer,
                                                  body + (position_ - in_buffer)};
