--- a/src/fault_testing/processes/fleet.h
+++ b/src/fault_testing/processes/fleet.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // The implementation of play.h: a run with real processes. Split by concern into play.cpp (the run),
-// members.cpp (the processes), faults.cpp (fault injection) and view_query.cpp (queries of members and
-// commands).
+// members.cpp (the processes), faults.cpp (fault injection), operator_call.cpp (an operator's calls) and
+// view_query.cpp (queries of members and commands).
 #ifndef COPPERPOINT_FAULT_TESTING_PROCESSES_FLEET_H_
 #define COPPERPOINT_FAULT_TESTING_PROCESSES_FLEET_H_
 
@@ -112,6 +112,8 @@
   };
   class ViewQuery;
   friend class ViewQuery;
+  class OperatorCall;
+  friend class OperatorCall;
 
   Member& At(int member) { return members_[static_cast<std::size_t>(member)]; }
   double Now() const { return std::chrono::duration<double>(Clock::now() - started_at_).count(); }
--- a/src/fault_testing/processes/play.cpp
+++ b/src/fault_testing/processes/play.cpp
@@ -11,8 +11,10 @@
 void ProcessFleet::Prepare() {
   address_block_ = 16 + ::getpid() % 200;
   std::vector<Udp::endpoint> bind_addresses, advertised_addresses;
+  // All stay bound until each port has been chosen, so that no two are the same.
+  std::vector<Tcp::acceptor> bound;
   const auto free_port = [&](const asio::ip::address& address) {
-    return Tcp::acceptor(io_, {address, 0}).local_endpoint().port();
+    return bound.emplace_back(io_, Tcp::endpoint(address, 0)).local_endpoint().port();
   };
   for (int i = 0; i < plan_.members; ++i) {
     Member& member = At(i);
@@ -25,6 +27,7 @@
     bind_addresses.push_back(member.bind_address);
     advertised_addresses.push_back(member.advertised_address);
   }
+  bound.clear();
   if (options_.with_membership)
     relay_ =
         std::make_unique<Relay>(io_, links_, bind_addresses, advertised_addresses, [this] { return Now(); });
--- a/src/fault_testing/processes/view_query.cpp
+++ b/src/fault_testing/processes/view_query.cpp
@@ -87,35 +87,6 @@
   http::response<http::string_body> response_;
 };
 
-// Sends an operator's POST request to a member; a failure counts as a rule violation.
-void ProcessFleet::CallOperator(int number, const std::string& target, const std::string& body) {
-  struct Call {
-    explicit Call(asio::io_context& io) : stream(io) {}
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer;
-    http::request<http::string_body> request;
-    http::response<http::string_body> response;
-  };
-  const auto call = std::make_shared<Call>(io_);
-  call->request = {http::verb::post, target, 11, body};
-  call->request.set(http::field::host, "rig");
-  call->request.prepare_payload();
-  call->stream.expires_after(kQueryTimeout);
-  const auto on_done = [this, number, target, call](const Error& failed) {
-    if (failed || call->response.result() != http::status::ok)
-      evaluator_.AddRuleViolation(fmt::format("POST {} at {}: {} {}", target, MemberName(number),
-                                              failed.message(), call->response.body()));
-  };
-  call->stream.async_connect(At(number).operator_address, [call, on_done](const Error& failed) {
-    if (failed) return on_done(failed);
-    http::async_write(call->stream, call->request, [call, on_done](const Error& broken, std::size_t) {
-      if (broken) return on_done(broken);
-      http::async_read(call->stream, call->buffer, call->response,
-                       [on_done](const Error& error, std::size_t) { on_done(error); });
-    });
-  });
-}
-
 void ProcessFleet::ReportStatus() {
   FleetStatus status;
   status.at_s = Now();
--- a/src/rollout/agent.cpp
+++ b/src/rollout/agent.cpp
@@ -283,6 +283,11 @@
   if (busy()) return InProgressFailure(rollout_ ? &rollout_->plan : nullptr);
   if (members.empty())
     return CommandFailure{CommandError::kNoMembers, "the membership has no members to upgrade"};
+  const auto is_other = [&](const MemberInfo& member) { return member.name != identity_.name; };
+  if (std::none_of(members.begin(), members.end(), is_other))
+    return CommandFailure{
+        CommandError::kNoMembers,
+        "this member knows no other one, which would keep the plan while its process is replaced"};
   if (members.size() > Progress::kMaxAdmittedMembers)
     return CommandFailure{CommandError::kTooManyMembers,
                           fmt::format("the membership has {} members, but a rollout can have at most {}",
--- a/tests/rollout/agent_test.cpp
+++ b/tests/rollout/agent_test.cpp
@@ -216,6 +216,8 @@
   Agent agent = MakeAgent();
   const Plan plan = ParsePlan(kPlan, "plan");
   EXPECT_EQ(agent.Start(Millis(0), plan, {})->error, CommandError::kNoMembers);
+  // Alone, its plan would be lost with its process, and the next process would wait for it.
+  EXPECT_EQ(agent.Start(Millis(0), plan, {{"p1", "a"}})->error, CommandError::kNoMembers);
   EXPECT_EQ(agent.Start(Millis(0), plan, std::vector<MemberInfo>(32768))->error,
             CommandError::kTooManyMembers);
   EXPECT_EQ(agent.Abort(Millis(0))->error, CommandError::kNothingToAbort);
