The outcome of an expired attempt is decided in one place

Cause: the outcome of a request that may no longer be written stood in BackendConnection::OnTimer, beside OutcomeOfTimeout. Change: OutcomeOfTimeout takes which limit was reached (ExpiredLimit) in place of a flag, and decides all three outcomes. Measured: ConnectionState.* pass, one test more; behaviour as before.

--- a/src/proxy/upstream/backend_connection.cpp
+++ b/src/proxy/upstream/backend_connection.cpp
@@ -187,10 +187,12 @@
 void BackendConnection::OnTimer() {
   // Without an attempt in progress, the idle timeout or a streamed response's stall timeout has expired.
   if (!attempt_.in_progress()) return Close();
-  if (!IsRequestWritten(state_) && !attempt_.MayBeWritten(Steady::now()))
-    return Fail(AttemptOutcome::kNotSent);
-  const bool deadline_reached = timer_.expiry() >= attempt_.deadline;
-  Fail(OutcomeOfTimeout(state_, deadline_reached));
+  Fail(OutcomeOfTimeout(state_, LimitReached()));
+}
+
+ExpiredLimit BackendConnection::LimitReached() const {
+  if (!IsRequestWritten(state_) && !attempt_.MayBeWritten(Steady::now())) return ExpiredLimit::kSendBy;
+  return timer_.expiry() >= attempt_.deadline ? ExpiredLimit::kAttemptTimeout : ExpiredLimit::kState;
 }
 
 void BackendConnection::CancelUnsent() {
--- a/src/proxy/upstream/backend_connection.h
+++ b/src/proxy/upstream/backend_connection.h
@@ -94,6 +94,7 @@
   Steady::time_point WriteBy() const;
   void LogRequestWritten() const;
   void OnTimer();
+  ExpiredLimit LimitReached() const;
   void EndStream();
   void Clear();
 
--- a/src/proxy/upstream/connection_state.h
+++ b/src/proxy/upstream/connection_state.h
@@ -54,11 +54,18 @@
   return state == ConnectionState::kAwaitingResponse || state == ConnectionState::kReadingResponse;
 }
 
-// @return the outcome of an attempt whose connection times out in `state`. @param deadline_reached whether
-// the attempt's own timeout has expired, not another limit of the state.
-constexpr AttemptOutcome OutcomeOfTimeout(ConnectionState state, bool deadline_reached) {
-  if (!IsRequestWritten(state)) return AttemptOutcome::kConnectFailure;  // nothing has run
-  if (state == ConnectionState::kReadingResponse && !deadline_reached)
+// Which limit of an attempt a timer has reached.
+enum class ExpiredLimit {
+  kSendBy,          // the request may no longer be written
+  kAttemptTimeout,  // the attempt's own timeout
+  kState,           // another limit of the state, as the connect timeout
+};
+
+// @return the outcome of an attempt whose connection times out in `state`.
+constexpr AttemptOutcome OutcomeOfTimeout(ConnectionState state, ExpiredLimit limit) {
+  if (!IsRequestWritten(state))  // nothing has run
+    return limit == ExpiredLimit::kSendBy ? AttemptOutcome::kNotSent : AttemptOutcome::kConnectFailure;
+  if (state == ConnectionState::kReadingResponse && limit != ExpiredLimit::kAttemptTimeout)
     return AttemptOutcome::kConnectionReset;  // the response stopped halfway
   return AttemptOutcome::kTimeout;
 }
--- a/tests/proxy/upstream_test.cpp
+++ b/tests/proxy/upstream_test.cpp
@@ -16,6 +16,7 @@
 
 namespace http = boost::beast::http;
 using proxy::ConnectionState;
+using proxy::ExpiredLimit;
 using proxy::HttpRequest;
 using proxy::HttpResponse;
 using proxy::IsFramingUnambiguous;
@@ -130,18 +131,23 @@
 }
 
 TEST(ConnectionState, TimeoutBeforeTheLastByteOfTheRequestMeansThatNothingRan) {
-  for (const bool deadline_reached : {false, true}) {
+  for (const ExpiredLimit limit : {ExpiredLimit::kAttemptTimeout, ExpiredLimit::kState}) {
     for (const ConnectionState state : {ConnectionState::kConnecting, ConnectionState::kWritingRequest})
-      EXPECT_EQ(proxy::OutcomeOfTimeout(state, deadline_reached), AttemptOutcome::kConnectFailure);
-    EXPECT_EQ(proxy::OutcomeOfTimeout(ConnectionState::kAwaitingResponse, deadline_reached),
-              AttemptOutcome::kTimeout);
+      EXPECT_EQ(proxy::OutcomeOfTimeout(state, limit), AttemptOutcome::kConnectFailure);
+    EXPECT_EQ(proxy::OutcomeOfTimeout(ConnectionState::kAwaitingResponse, limit), AttemptOutcome::kTimeout);
   }
 }
 
+TEST(ConnectionState, RequestThatMayNoLongerBeWrittenWasNotSent) {
+  for (const ConnectionState state : {ConnectionState::kConnecting, ConnectionState::kWritingRequest})
+    EXPECT_EQ(proxy::OutcomeOfTimeout(state, ExpiredLimit::kSendBy), AttemptOutcome::kNotSent);
+}
+
 TEST(ConnectionState, ResponseThatStopsHalfwayIsAResetUnlessTheDeadlineIsReached) {
-  EXPECT_EQ(proxy::OutcomeOfTimeout(ConnectionState::kReadingResponse, false),
+  EXPECT_EQ(proxy::OutcomeOfTimeout(ConnectionState::kReadingResponse, ExpiredLimit::kState),
             AttemptOutcome::kConnectionReset);
-  EXPECT_EQ(proxy::OutcomeOfTimeout(ConnectionState::kReadingResponse, true), AttemptOutcome::kTimeout);
+  EXPECT_EQ(proxy::OutcomeOfTimeout(ConnectionState::kReadingResponse, ExpiredLimit::kAttemptTimeout),
+            AttemptOutcome::kTimeout);
 }
 
 }  // namespace
