--- a/src/fault_testing/plan.cpp
+++ b/src/fault_testing/plan.cpp
@@ -31,6 +31,7 @@
                                                                  {"slow_start", FaultKind::kSlowStart},
                                                                  {"change", FaultKind::kChange},
                                                                  {"abort", FaultKind::kAbort},
+                                                                 {"reload", FaultKind::kReload},
                                                                  {"jump", FaultKind::kJump},
                                                                  {"freeze", FaultKind::kFreeze},
                                                                  {"fail", FaultKind::kFail},
@@ -109,7 +110,7 @@
   v.TextList(
       "who", who,
       {.text = "members: `all`, `p3`, `p3-p9`, `zone:a`, `seeds`, `share:0.1`; link faults: the senders; "
-               "freeze, fail, slow, reset: `backends`, `b1`, `b1-b3`, `share:0.5`"});
+               "freeze, fail, slow, reset: `backends`, `b1`, `b1-b3`, `share:0.5`; fail: `discovery` too"});
   v.TextList(
       "to", to,
       {.text =
@@ -150,6 +151,8 @@
   v.Number("work_ms", work_ms, {.text = "duration of a request", .unit = "ms", .max = 1e4});
   v.Int32("slots", slots, {.text = "concurrent requests; more are rejected", .min = 1, .max = 10000});
   v.Number("rate", rate, {.text = "requests a second over all proxies; 0: no clients", .max = 1e5});
+  v.Boolean("polled_discovery", polled_discovery,
+            {.text = "proxies have to poll discovery where they have no watch"});
   v.Number("cold_from", slow_start_min_capacity,
            {.text = "share of full capacity right after a start", .min = 0.01, .max = 1});
   v.Number("warm_up_s", warm_up_s, {.text = "time until full capacity", .unit = "s", .max = 600});
--- a/src/fault_testing/plan.h
+++ b/src/fault_testing/plan.h
@@ -37,13 +37,16 @@
                // starts with the other program
   kChange,     // a rollout of the plan `file` is started at the first of `who` (processes under supervisors)
   kAbort,      // an operator aborts the rollout at the first of `who`
+  kReload,     // the configuration names another address of discovery and the process gets SIGHUP; the old
+               // address refuses connections, and closes the open ones after 1.5 s (processes only)
   // Service faults, with processes only. `who` are backends, or the proxies that are cut off from `to`.
-  kFreeze,      // backends accept requests and do not respond
-  kFail,        // a share `amount` of the requests fails at once
-  kSlow,        // requests take `amount` times as long
-  kReset,       // for a share `amount` of the requests the connection is reset, half of these after execution
-  kDrain,       // discovery reports the backends as terminating; after `for_s` as in service again
-  kRestart,     // the backends exit, and start again cold after `for_s`; discovery reports both
+  kFreeze,   // backends accept requests and do not respond
+  kFail,     // a share `amount` of the requests fails at once; at `discovery`: of each proxy's calls, evenly
+             // spaced, `amount` are rejected after 1 s
+  kSlow,     // requests take `amount` times as long
+  kReset,    // for a share `amount` of the requests the connection is reset, half of these after execution
+  kDrain,    // discovery reports the backends as terminating; after `for_s` as in service again
+  kRestart,  // the backends exit, and start again cold after `for_s`; discovery reports both
   kCutService,  // nothing passes between the proxies `who` and `to`: backends, or `discovery`
 };
 
@@ -101,7 +104,8 @@
   int backends = 6;
   double work_ms = 10;
   int slots = 8;
-  double rate = 100;  // requests a second over all proxies; 0: no clients
+  double rate = 100;              // requests a second over all proxies; 0: no clients
+  bool polled_discovery = false;  // proxies have to poll discovery where they have no watch
   // Cold start of a backend: its initial share of full capacity, the seconds until it reaches full capacity,
   // and the load, as a multiple of its capacity over `fall_ms`, at which it becomes overloaded and ends.
   double slow_start_min_capacity = 0.2, warm_up_s = 1, overload_factor = 3, fall_ms = 1000;
--- a/src/fault_testing/processes/directory.cpp
+++ b/src/fault_testing/processes/directory.cpp
@@ -2,12 +2,14 @@
 #include "fault_testing/processes/directory.h"
 
 #include <fmt/format.h>
+#include <sys/socket.h>
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <chrono>
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -23,6 +25,8 @@
 
 constexpr std::chrono::milliseconds kHeartbeat{2000};
 constexpr std::chrono::milliseconds kRecheckInterval{10};  // for the end of a cut
+constexpr std::chrono::milliseconds kQueueTimeout{1000};   // after which a rejected call gets its response
+constexpr std::chrono::milliseconds kOldAddressGrace{1500};
 
 std::int64_t UnixMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -47,7 +51,11 @@
 class Directory::Watch : public std::enable_shared_from_this<Watch> {
  public:
   Watch(Directory& owner, int proxy, Tcp::socket socket)
-      : owner_(&owner), proxy_(proxy), socket_(std::move(socket)), timer_(owner.io_) {}
+      : owner_(&owner),
+        proxy_(proxy),
+        socket_(std::move(socket)),
+        timer_(owner.io_),
+        close_timer_(owner.io_) {}
 
   void Start() {
     request_ = {};
@@ -57,9 +65,17 @@
                        self->streams_ = self->request_.target().find("stream=1") != beast::string_view::npos;
                        self->head_pending_ = true;
                        self->sent_revision_ = 0;
+                       if (self->owner_->TakeRejection(self->proxy_)) return self->Reject();
                        self->SendUpdate();
                      });
   }
+  // Closes the connection after `delay`.
+  void CloseAfter(std::chrono::milliseconds delay) {
+    close_timer_.expires_after(delay);
+    close_timer_.async_wait([self = shared_from_this()](const Error& cancelled) {
+      if (!cancelled) self->Detach();
+    });
+  }
   // Sends the changed entries if the proxy waits for an update.
   void NotifyChange() {
     if (is_waiting_) timer_.cancel();
@@ -69,9 +85,19 @@
     Error ignored;
     socket_.close(ignored);
     timer_.cancel();
+    close_timer_.cancel();
   }
 
  private:
+  void Reject() {
+    timer_.expires_after(kQueueTimeout);
+    timer_.async_wait([self = shared_from_this()](const Error&) {
+      if (!self->owner_) return;
+      self->out_ = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+      asio::async_write(self->socket_, asio::buffer(self->out_),
+                        [self](const Error&, std::size_t) { self->Detach(); });
+    });
+  }
   void Wait(std::chrono::milliseconds max_wait) {
     is_waiting_ = true;
     timer_.expires_after(max_wait);
@@ -81,7 +107,14 @@
     });
   }
 
+  // Whether the proxy has closed the connection: what is written then does not count as delivered.
+  bool IsClosedByProxy() {
+    char byte = 0;
+    return ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  }
+
   void SendUpdate() {
+    if (IsClosedByProxy()) return Detach();
     if (owner_->service_faults_.IsCut(proxy_, kDiscovery)) return Wait(kRecheckInterval);
     std::vector<int> delivered;
     const std::uint64_t revision = owner_->revision_;
@@ -110,7 +143,7 @@
   Directory* owner_;
   const int proxy_;
   Tcp::socket socket_;
-  asio::steady_timer timer_;
+  asio::steady_timer timer_, close_timer_;
   beast::flat_buffer buffer_;
   http::request<http::empty_body> request_;
   std::string out_;
@@ -123,22 +156,41 @@
                      simulation::RuleChecker& rules, std::function<simulation::Micros()> now)
     : io_(io),
       plan_(plan),
+      address_(address),
       addresses_(std::move(addresses)),
       service_faults_(service_faults),
       rules_(rules),
       now_(std::move(now)),
       entries_(static_cast<std::size_t>(plan.service.backends)) {
   for (int proxy = 0; proxy < plan.members; ++proxy) {
-    auto listener = std::make_unique<Listener>(io);
-    listener->acceptor.open(Tcp::v4());
-    listener->acceptor.bind({address, 0});
-    listener->acceptor.listen();
-    listener->known.resize(entries_.size());
-    listeners_.push_back(std::move(listener));
-    Accept(proxy);
+    listeners_.push_back(std::make_unique<Listener>(io));
+    At(proxy).known.resize(entries_.size());
+    Listen(proxy);
   }
 }
 
+void Directory::Listen(int proxy) {
+  Tcp::acceptor& acceptor = At(proxy).acceptor;
+  acceptor.open(Tcp::v4());
+  acceptor.bind({address_, 0});
+  acceptor.listen();
+  Accept(proxy);
+}
+
+void Directory::MoveProxy(int proxy) {
+  for (const auto& watch : At(proxy).watches)
+    if (const auto open = watch.lock()) open->CloseAfter(kOldAddressGrace);
+  At(proxy).acceptor.close();
+  Listen(proxy);
+}
+
+bool Directory::TakeRejection(int proxy) {
+  const double share = service_faults_.FailureShare(kDiscovery);
+  if (share <= 0) return false;
+  const auto call = static_cast<double>(At(proxy).calls++);
+  return std::floor((call + 1) * share) > std::floor(call * share);
+}
+
 Directory::~Directory() {
   for (const auto& listener : listeners_)
     for (const auto& watch : listener->watches)
@@ -217,6 +269,10 @@
 
 void Directory::OnProxyResumed(int proxy) {
   rules_.OnProxyStarted(static_cast<std::uint32_t>(proxy));
+  OnUpdateDue(proxy);
+}
+
+void Directory::OnUpdateDue(int proxy) {
   std::vector<int> all;
   for (std::size_t i = 0; i < entries_.size(); ++i) all.push_back(static_cast<int>(i));
   OnDelivered(proxy, all);
--- a/src/fault_testing/processes/directory.h
+++ b/src/fault_testing/processes/directory.h
@@ -1,7 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // The discovery state of the stand-in backends, and a stand-in discovery server for each proxy. Reports to
-// the service rules which endpoint updates each proxy has received, and when.
+// the service rules which endpoint updates each proxy has received, and when. An address of a proxy can be
+// replaced, as at a reload of its configuration.
 #ifndef COPPERPOINT_FAULT_TESTING_PROCESSES_DIRECTORY_H_
 #define COPPERPOINT_FAULT_TESTING_PROCESSES_DIRECTORY_H_
 
@@ -32,7 +33,13 @@
             simulation::RuleChecker& rules, std::function<simulation::Micros()> now);
   ~Directory();
 
+  // The address that the proxy's configuration names.
   Tcp::endpoint address(int proxy) const;
+  // Opens another address for the proxy. The one before refuses connections, and closes its open ones after
+  // kOldAddressGrace.
+  void MoveProxy(int proxy);
+  // The present state of all backends counts as delivered to the proxy.
+  void OnUpdateDue(int proxy);
   // Changes the state of a backend. `started`: its process has just started and is cold.
   void SetState(int backend, Phase phase, bool started);
   // Whether the proxy has been informed of the backend's current process.
@@ -58,9 +65,13 @@
     Tcp::acceptor acceptor;
     std::vector<std::weak_ptr<Watch>> watches;
     std::vector<KnownBackend> known;
+    std::uint64_t calls = 0;
   };
 
+  void Listen(int proxy);
   void Accept(int proxy);
+  // Counts a call of the proxy. Returns whether discovery rejects it.
+  bool TakeRejection(int proxy);
   // The entries that changed after `revision`, as one JSON line; appends their indexes to `delivered`.
   std::string ChangesSince(int proxy, std::uint64_t revision, std::vector<int>* delivered) const;
   void OnDelivered(int proxy, const std::vector<int>& backends);
@@ -68,6 +79,7 @@
 
   boost::asio::io_context& io_;
   const Plan& plan_;
+  const boost::asio::ip::address address_;
   const std::vector<std::vector<Tcp::endpoint>> addresses_;
   const ServiceFaults& service_faults_;
   simulation::RuleChecker& rules_;
--- a/src/fault_testing/processes/faults.cpp
+++ b/src/fault_testing/processes/faults.cpp
@@ -77,6 +77,9 @@
         if (member == members.front())
           Schedule(fault.at_s, [this, member] { CallOperator(member, "/rollout/abort", ""); });
         break;
+      case FaultKind::kReload:
+        Schedule(fault.at_s, [this, member] { Reload(member); });
+        break;
       case FaultKind::kJump:
         Schedule(fault.at_s, [this, member, &fault] { JumpClock(member, fault.amount); });
         break;
--- a/src/fault_testing/processes/fleet.h
+++ b/src/fault_testing/processes/fleet.h
@@ -122,12 +122,14 @@
         fmt::format("127.{}.{}.{}", address_block_, net + member / 200, 1 + member % 200));
   }
   void Prepare();
+  void WriteConfiguration(int member);  // what $ROUTER_CONFIG names
   void WriteConfigFiles(int member);
   void WriteSupervisorConfig(int member);
   void CallOperator(int member, const std::string& target, const std::string& body);
   void Start(int member);
   void End(int member, bool graceful);
   void SetPaused(int member, bool paused);
+  void Reload(int member);
   void Replace(int member, bool other);
   void StartAfterExit(int member);
   void OnLogLine(int member, const std::string& line);
--- a/src/fault_testing/processes/members.cpp
+++ b/src/fault_testing/processes/members.cpp
@@ -7,15 +7,13 @@
 constexpr std::chrono::milliseconds kExitCheckInterval{
     20};  // for the exit of a process that is to be replaced
 constexpr std::chrono::milliseconds kFrontEndNoticeDelay{
-    100};  // until clients are no longer sent to an ended process
+    100};                            // until clients are no longer sent to an ended process
+constexpr double kReloadBoundS = 4;  // after SIGHUP, what discovery has to tell counts as told
 
 }  // namespace
 
-void ProcessFleet::WriteConfigFiles(int number) {
+void ProcessFleet::WriteConfiguration(int number) {
   const Member& member = At(number);
-  const std::string base = folder_.path + "/" + MemberName(number);
-  std::filesystem::create_directory(base);
-  std::ofstream(base + "/clock") << std::string(sizeof(std::int64_t), '\0');
   const nlohmann::json config{
       {"name", MemberName(number)},
       {"listen", FormatEndpoint(member.listen_address)},
@@ -24,7 +22,15 @@
       {"seed", fmt::format("{:x}", options_.seed * 1000 + static_cast<std::uint64_t>(number))},
       {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
       {"settings", ProxySettings(plan_, number)}};
-  std::ofstream(base + "/config.json") << config.dump();
+  std::ofstream(folder_.path + "/" + MemberName(number) + "/config.json") << config.dump();
+}
+
+void ProcessFleet::WriteConfigFiles(int number) {
+  const Member& member = At(number);
+  const std::string base = folder_.path + "/" + MemberName(number);
+  std::filesystem::create_directory(base);
+  std::ofstream(base + "/clock") << std::string(sizeof(std::int64_t), '\0');
+  WriteConfiguration(number);
   std::string seeds;
   for (int i = 0; i < std::min(plan_.seeds, plan_.members); ++i)
     seeds += fmt::format("{}\"{}\"", i ? ", " : "", peers::FormatAddress(At(i).advertised_address));
@@ -166,6 +172,17 @@
   if (!paused) directory_->OnProxyResumed(number);
 }
 
+void ProcessFleet::Reload(int number) {
+  Member& member = At(number);
+  if (!member.child || !member.child->running()) return;
+  directory_->MoveProxy(number);
+  WriteConfiguration(number);
+  member.child->Signal(SIGHUP);
+  Schedule(Now() + kReloadBoundS, [this, number, incarnation = member.incarnation] {
+    if (At(number).incarnation == incarnation) directory_->OnUpdateDue(number);
+  });
+}
+
 void ProcessFleet::Replace(int number, bool other) {
   At(number).runs_other_program = other;
   if (!At(number).child) return;  // not started yet: it starts with that program
--- a/src/fault_testing/processes/service.cpp
+++ b/src/fault_testing/processes/service.cpp
@@ -23,6 +23,7 @@
 using Error = boost::system::error_code;
 
 constexpr std::chrono::milliseconds kDeadline{2000};       // deadline of a request
+constexpr double kMaxPollIntervalMs = 10000;               // where discovery has to be polled
 constexpr std::chrono::milliseconds kRecheckInterval{10};  // for the end of a freeze or cut
 constexpr std::chrono::milliseconds kExitNoticeDelay{
     300};  // until the rig knows of an exit after the connections broke
@@ -380,20 +381,26 @@
   };
   nlohmann::json zones = nlohmann::json::array();
   for (int i = 0; i < plan.zones; ++i) zones.push_back(ZoneName(plan, i));
-  return {{"balancers", plan.members},
-          {"me", member},
-          {"zone", member % plan.zones},
-          {"zones", zones},
-          {"kinds", {"m"}},
-          {"classes", {cls("look", "read_like"), cls("book", "non_idempotent")}},
-          {"permissions",
-           {{"maxAttempts", 4}, {"connIdleMs", 60000.0}, {"connectTimeoutMs", 250.0}, {"retryAfter", false}}},
-          {"rules",
-           {{"coldFrom", plan.service.slow_start_min_capacity},
-            {"warmUpMs", plan.service.warm_up_s * 1000},
-            {"fallMultiple", plan.service.overload_factor},
-            {"overloadForMs", plan.service.fall_ms}}},
-          {"tenants", nlohmann::json::array()}};
+  nlohmann::json settings{
+      {"balancers", plan.members},
+      {"me", member},
+      {"zone", member % plan.zones},
+      {"zones", zones},
+      {"kinds", {"m"}},
+      {"classes", {cls("look", "read_like"), cls("book", "non_idempotent")}},
+      {"permissions",
+       {{"maxAttempts", 4}, {"connIdleMs", 60000.0}, {"connectTimeoutMs", 250.0}, {"retryAfter", false}}},
+      {"rules",
+       {{"coldFrom", plan.service.slow_start_min_capacity},
+        {"warmUpMs", plan.service.warm_up_s * 1000},
+        {"fallMultiple", plan.service.overload_factor},
+        {"overloadForMs", plan.service.fall_ms}}},
+      {"tenants", nlohmann::json::array()}};
+  if (plan.service.polled_discovery) {
+    settings["registryMode"] = "ask";
+    settings["rules"]["mustAskInMs"] = kMaxPollIntervalMs;
+  }
+  return settings;
 }
 
 }  // namespace copperpoint::fault_testing
--- a/src/fault_testing/virtual.cpp
+++ b/src/fault_testing/virtual.cpp
@@ -382,6 +382,8 @@
       case FaultKind::kChange:
       case FaultKind::kAbort:
         break;  // in virtual time, `rollout simulate` covers rollouts
+      case FaultKind::kReload:
+        break;  // virtual time has no discovery
       default:  // starve
         Fault from_now = fault;
         from_now.at_s = Seconds(queue_.now());
--- a/src/proxy/discovery/discovery_client.cpp
+++ b/src/proxy/discovery/discovery_client.cpp
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "proxy/discovery/discovery_client.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "log/event_names.h"
@@ -10,16 +9,13 @@
 namespace copperpoint::proxy {
 namespace {
 
-constexpr std::chrono::milliseconds kMinBackoff{50};
-constexpr std::chrono::milliseconds kMaxBackoff{1000};
-
 void LogMalformed(const std::string& reason) {
   log::Global().Warn(log::events::kDiscoveryMalformed, {{"reason", reason}});
 }
 
-// One step of Knuth's MMIX linear congruential generator.
-std::uint64_t NextJitterState(std::uint64_t state) {
-  return state * 6364136223846793005u + 1442695040888963407u;
+// Whether discovery rejects the request as such, as it may if it does not know the revision.
+bool IsClientError(const StreamFailure& failure) {
+  return failure.http_status >= 400 && failure.http_status < 500;
 }
 
 }  // namespace
@@ -31,20 +27,25 @@
       on_update_(std::move(on_update)),
       on_failure_(std::move(on_failure)),
       backoff_timer_(io),
-      jitter_state_(options_.seed | 1) {}
+      confirmation_timer_(io),
+      backoff_(options_.seed),
+      confirmation_backoff_(options_.seed + 1) {}
 
 DiscoveryClient::~DiscoveryClient() {
-  for (const auto& stream : {watch_, replacement_}) {
+  for (const auto& stream : {watch_, replacement_, confirmation_}) {
     if (stream) stream->Detach();
   }
 }
 
 void DiscoveryClient::Watch() { Enter(migrating() ? State::kMigrating : State::kWatching); }
 
-void DiscoveryClient::MoveTo(const boost::asio::ip::tcp::endpoint& address) {
+void DiscoveryClient::Reload(const boost::asio::ip::tcp::endpoint& address) {
+  current_by_ = Steady::now() + options_.reload_bound;
   if (address == (migrating() ? replacement_address_ : options_.address)) return;
   replacement_address_ = address;
-  backoff_ = std::chrono::milliseconds(0);
+  replacement_request_ = EndpointStream::Request::kWatch;
+  EndConfirmation();
+  backoff_.Reset();
   Enter(State::kMigrating);
 }
 
@@ -73,32 +74,65 @@
 void DiscoveryClient::OpenReplacement() {
   backoff_timer_.cancel();
   if (replacement_) replacement_->Detach();
-  replacement_ = NewStream(replacement_address_, EndpointStream::Request::kSnapshot);
+  replacement_ = NewStream(replacement_address_, replacement_request_);
   replacement_->Start();
 }
 
-// Makes the replacement the watch, once it has delivered its snapshot.
-void DiscoveryClient::AdoptReplacement() {
+bool DiscoveryClient::AdoptReplacement(const EndpointList& update) {
+  if (!update.complete && update.revision < options_.revision) {
+    replacement_request_ = EndpointStream::Request::kSnapshot;
+    OpenReplacement();
+    return false;
+  }
   if (watch_) watch_->Detach();
   watch_ = std::move(replacement_);
   options_.address = replacement_address_;
   state_ = State::kWatching;
+  if (!update.complete) ArmConfirmation();
+  return true;
+}
+
+// The delay leaves discovery to the proxies that have no list yet.
+void DiscoveryClient::ArmConfirmation() {
+  confirmation_backoff_.Reset();
+  confirmation_timer_.expires_at(current_by_ - options_.reload_bound / 2);
+  confirmation_timer_.async_wait([this](const boost::system::error_code& cancelled) {
+    if (!cancelled) OpenConfirmation();
+  });
+}
+
+void DiscoveryClient::OpenConfirmation() {
+  if (confirmation_) confirmation_->Detach();
+  confirmation_ = NewStream(options_.address, EndpointStream::Request::kSnapshot);
+  confirmation_->Start();
+}
+
+void DiscoveryClient::RetryConfirmation() {
+  confirmation_timer_.expires_after(confirmation_backoff_.Next(Steady::duration::zero()));
+  confirmation_timer_.async_wait([this](const boost::system::error_code& cancelled) {
+    if (!cancelled) OpenConfirmation();
+  });
+}
+
+void DiscoveryClient::EndConfirmation() {
+  confirmation_timer_.cancel();
+  if (confirmation_) confirmation_->Detach();
+  confirmation_.reset();
 }
 
 std::shared_ptr<EndpointStream> DiscoveryClient::NewStream(const boost::asio::ip::tcp::endpoint& address,
                                                            EndpointStream::Request request) {
   log::Global().Debug(log::events::kDiscoveryPolled);
-  const EndpointStream::Timeouts timeouts{options_.connect_timeout, options_.first_message_timeout,
+  const auto first_message_timeout =
+      reload_bounds_time() ? options_.first_message_timeout_after_reload : options_.first_message_timeout;
+  const EndpointStream::Timeouts timeouts{options_.connect_timeout, first_message_timeout,
                                           options_.idle_timeout};
   EndpointStream::Observer& observer = *this;
   return std::make_shared<EndpointStream>(io_, observer, address, timeouts, request);
 }
 
-// Half of the backoff is jitter, so that proxies do not reconnect at the same time.
 void DiscoveryClient::ArmBackoff() {
-  backoff_ = std::clamp(backoff_ * 2, kMinBackoff, kMaxBackoff);
-  jitter_state_ = NextJitterState(jitter_state_);
-  backoff_timer_.expires_after(backoff_ / 2 + backoff_ * (jitter_state_ >> 33) / 2 / (1ull << 31));
+  backoff_timer_.expires_after(backoff_.Next(current_by_ - Steady::now()));
   backoff_timer_.async_wait([this](const boost::system::error_code& cancelled) {
     if (!cancelled) Watch();
   });
@@ -111,34 +145,56 @@
     LogMalformed(error.Describe());
     return false;
   }
+  if (&stream == confirmation_.get()) return OnConfirmation(*update);
   if (&stream == replacement_.get()) {
-    if (!update->complete) return false;
-    AdoptReplacement();
+    if (replacement_request_ == EndpointStream::Request::kSnapshot && !update->complete) return false;
+    if (!AdoptReplacement(*update)) return true;
   }
-  backoff_ = std::chrono::milliseconds(0);
+  if (update->complete) EndConfirmation();
+  backoff_.Reset();
   if (std::exchange(outage_logged_, false)) log::Global().Info(log::events::kDiscoveryRecovered);
   // An incremental update older than the list that it would change must not undo it.
   if (!update->complete && update->revision < options_.revision) return true;
-  options_.revision = update->revision;
-  on_update_(*update);
+  Apply(*update);
+  return true;
+}
+
+bool DiscoveryClient::OnConfirmation(const EndpointList& update) {
+  if (!update.complete) return false;
+  EndConfirmation();
+  if (update.revision < options_.revision) {
+    RetryConfirmation();  // the watch has delivered a later change meanwhile
+  } else {
+    Apply(update);
+  }
   return true;
 }
 
+void DiscoveryClient::Apply(const EndpointList& update) {
+  options_.revision = update.revision;
+  on_update_(update);
+}
+
 void DiscoveryClient::OnFramingError() { LogMalformed("no list"); }
 
 void DiscoveryClient::OnStreamEnded(EndpointStream& stream, const StreamFailure& failure) {
   const std::string reason = failure.Describe();
   log::Global().Debug(log::events::kDiscoveryFailed, {{"reason", reason}});
+  if (&stream == confirmation_.get()) {
+    confirmation_.reset();
+    return RetryConfirmation();
+  }
   // While migrating, the old watch is not needed: only the replacement is retried.
   if (migrating() && &stream == watch_.get()) return watch_.reset();
   if (!std::exchange(outage_logged_, true))
     log::Global().Warn(log::events::kDiscoveryUnavailable, {{"reason", reason}});
   if (migrating()) {
     replacement_.reset();
+    if (IsClientError(failure)) replacement_request_ = EndpointStream::Request::kSnapshot;
     return Enter(State::kMigrationBackoff);
   }
   watch_.reset();
-  if (options_.reconnect == Reconnect::kAutomatic) return Enter(State::kBackoff);
+  if (options_.reconnect == Reconnect::kAutomatic || reload_bounds_time()) return Enter(State::kBackoff);
   Enter(State::kIdle);
   on_failure_();
 }
--- a/src/proxy/discovery/discovery_client.h
+++ b/src/proxy/discovery/discovery_client.h
@@ -1,7 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // Keeps the proxy's endpoint list current: holds one watch of discovery open, reconnects with backoff, and
-// migrates to another discovery address without losing the watch it has.
+// migrates to another discovery address without losing the watch it has. Discovery serves the calls of all
+// proxies one by one, so that a migration makes no more calls than it needs.
 #ifndef COPPERPOINT_PROXY_DISCOVERY_DISCOVERY_CLIENT_H_
 #define COPPERPOINT_PROXY_DISCOVERY_DISCOVERY_CLIENT_H_
 
@@ -13,8 +14,10 @@
 #include <memory>
 #include <string>
 
+#include "proxy/clock.h"
 #include "proxy/discovery/endpoint_stream.h"
 #include "proxy/discovery/endpoints.h"
+#include "proxy/discovery/reconnect_backoff.h"
 
 namespace copperpoint::proxy {
 
@@ -26,7 +29,9 @@
   using OnFailure = std::function<void()>;
   enum class Reconnect {
     kAutomatic,  // the client reconnects by itself after a backoff
-    kOnRequest,  // the client reconnects on the next call of Watch; OnFailure reports the failure
+    // The client reconnects on the next call of Watch; OnFailure reports the failure. Not while a reload
+    // bounds the time: see Reload.
+    kOnRequest,
   };
 
   struct Options {
@@ -38,6 +43,9 @@
     std::chrono::milliseconds idle_timeout{3000};           // one and a half heartbeat intervals
     std::chrono::milliseconds first_message_timeout{4000};  // longer, as discovery serves calls one by one
     std::chrono::milliseconds connect_timeout{1000};
+    std::chrono::milliseconds reload_bound{4000};  // from a reload until the list has to be current
+    // Replaces first_message_timeout within reload_bound, so that another call fits into it.
+    std::chrono::milliseconds first_message_timeout_after_reload{3000};
     std::uint64_t seed = 0;  // of the backoff's jitter
   };
 
@@ -52,9 +60,13 @@
   // Returns the revision of the last update applied.
   std::uint64_t revision() const override { return options_.revision; }
 
-  // Migrates to another address. Revisions there need not continue the known ones, so a snapshot is fetched
-  // first; the open watch stays until the snapshot has arrived.
-  void MoveTo(const boost::asio::ip::tcp::endpoint& address);
+  // Handles a reload of the configuration, from which on the list has to be current within
+  // Options::reload_bound: until then the client retries by itself also where it otherwise reconnects on
+  // request. If `address` is another one, migrates to it; the open watch stays until a list has arrived from
+  // there. The first call there is a watch from the known revision, which one response makes current. Where
+  // that response is no snapshot, revisions there need not continue the known ones: with a lower revision a
+  // snapshot is fetched at once, otherwise one confirms the list after half of Options::reload_bound.
+  void Reload(const boost::asio::ip::tcp::endpoint& address);
 
  private:
   enum class State {
@@ -69,8 +81,16 @@
   bool migrating() const { return state_ == State::kMigrating || state_ == State::kMigrationBackoff; }
   void OpenWatch();
   void OpenReplacement();
-  void AdoptReplacement();
+  // Returns whether the replacement has become the watch, so that `update` applies.
+  bool AdoptReplacement(const EndpointList& update);
+  void ArmConfirmation();
+  void OpenConfirmation();
+  void RetryConfirmation();
+  void EndConfirmation();
+  bool OnConfirmation(const EndpointList& update);
+  void Apply(const EndpointList& update);
   void ArmBackoff();
+  bool reload_bounds_time() const { return Steady::now() < current_by_; }
   std::shared_ptr<EndpointStream> NewStream(const boost::asio::ip::tcp::endpoint& address,
                                             EndpointStream::Request request);
 
@@ -87,8 +107,12 @@
   std::shared_ptr<EndpointStream> watch_;
   std::shared_ptr<EndpointStream> replacement_;         // while migrating
   boost::asio::ip::tcp::endpoint replacement_address_;  // while migrating
-  std::chrono::milliseconds backoff_{0};
-  std::uint64_t jitter_state_;
+  EndpointStream::Request replacement_request_ = EndpointStream::Request::kWatch;
+  std::shared_ptr<EndpointStream> confirmation_;  // fetches the snapshot that confirms the list
+  boost::asio::steady_timer confirmation_timer_;
+  ReconnectBackoff backoff_;
+  ReconnectBackoff confirmation_backoff_;
+  Steady::time_point current_by_{};  // the latest reload plus Options::reload_bound
   bool outage_logged_ = false;
 };
 
--- a/src/proxy/discovery/endpoint_stream.cpp
+++ b/src/proxy/discovery/endpoint_stream.cpp
@@ -130,6 +130,7 @@
     End({StreamError::kMalformedSnapshot});
     return;
   }
+  if (!observer_) return;
   request_kind_ = Request::kWatch;
   if (connection_open) return Enter(State::kSendingRequest);
   socket_.close();
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -96,7 +96,7 @@
   config_.timeouts = config.timeouts;
   backends_.SetTimeouts(config.timeouts);
   endpoints_.set_removed_retention(config.timeouts.removed_backend_retention);
-  discovery_.MoveTo(config.discovery);
+  discovery_.Reload(config.discovery);
 }
 
 void Proxy::Stop(std::function<void()> done) {
