A confirmation continues as the watch if that has ended; a poll does not repeat a migration's call

Watch() has no effect during a migration.

Measured: two tests more, each forces its crossing on real sockets; Reload* and *Watch* pass (28 tests, release build).

--- a/src/proxy/discovery/discovery_client.cpp
+++ b/src/proxy/discovery/discovery_client.cpp
@@ -37,7 +37,10 @@
   }
 }
 
-void DiscoveryClient::Watch() { Enter(migrating() ? State::kMigrating : State::kWatching); }
+// A migration goes on by itself: to call anew would lose the place among the calls that wait at discovery.
+void DiscoveryClient::Watch() {
+  if (!migrating()) Enter(State::kWatching);
+}
 
 void DiscoveryClient::Reload(const boost::asio::ip::tcp::endpoint& address) {
   current_by_ = Steady::now() + options_.reload_bound;
@@ -134,7 +137,7 @@
 void DiscoveryClient::ArmBackoff() {
   backoff_timer_.expires_after(backoff_.Next(current_by_ - Steady::now()));
   backoff_timer_.async_wait([this](const boost::system::error_code& cancelled) {
-    if (!cancelled) Watch();
+    if (!cancelled) Enter(migrating() ? State::kMigrating : State::kWatching);
   });
 }
 
@@ -161,7 +164,11 @@
 
 bool DiscoveryClient::OnConfirmation(const EndpointList& update) {
   if (!update.complete) return false;
-  EndConfirmation();
+  if (watch_) {
+    EndConfirmation();
+  } else {
+    AdoptConfirmation();
+  }
   if (update.revision < options_.revision) {
     RetryConfirmation();  // the watch has delivered a later change meanwhile
   } else {
@@ -170,6 +177,14 @@
   return true;
 }
 
+// The watch has ended meanwhile. Whoever was to reopen it takes the snapshot for the end of the failure, so
+// that the confirmation has to continue as the watch.
+void DiscoveryClient::AdoptConfirmation() {
+  backoff_timer_.cancel();
+  watch_ = std::move(confirmation_);
+  state_ = State::kWatching;
+}
+
 void DiscoveryClient::Apply(const EndpointList& update) {
   options_.revision = update.revision;
   on_update_(update);
--- a/src/proxy/discovery/discovery_client.h
+++ b/src/proxy/discovery/discovery_client.h
@@ -54,7 +54,8 @@
   DiscoveryClient(const DiscoveryClient&) = delete;
   DiscoveryClient& operator=(const DiscoveryClient&) = delete;
 
-  // Opens a watch from the last revision applied; it replaces a watch that is open.
+  // Opens a watch from the last revision applied; it replaces a watch that is open. Without effect during a
+  // migration, which ends with a watch.
   void Watch();
 
   // Returns the revision of the last update applied.
@@ -88,6 +89,7 @@
   void RetryConfirmation();
   void EndConfirmation();
   bool OnConfirmation(const EndpointList& update);
+  void AdoptConfirmation();
   void Apply(const EndpointList& update);
   void ArmBackoff();
   bool reload_bounds_time() const { return Steady::now() < current_by_; }
--- a/tests/proxy/discovery_reload_test.cpp
+++ b/tests/proxy/discovery_reload_test.cpp
@@ -195,6 +195,64 @@
   EXPECT_EQ(client.failures.Get(), 0);
 }
 
+// The watch ends, which the decision module is told, before the confirmation arrives: the module takes that
+// for the end of the failure, so that the confirmation has to continue as the watch.
+TEST(ReloadOfDiscovery, ConfirmationContinuesAsTheWatchIfThatHasEnded) {
+  ScriptedDiscovery before({});
+  WaitableValue<bool> failure_reported;
+  std::string request_after_snapshot;
+  ScriptedDiscovery after({[](Tcp::socket& s) {
+                             ScriptedDiscovery::Open(s);
+                             SendRaw(s, Chunk(List(42, Members(kMember("s-1")), false) + "\n"));
+                           },
+                           [&](Tcp::socket& s) {
+                             failure_reported.WaitFor([](bool done) { return done; });
+                             SendRaw(s, OkResponse(List(42, Members(kMember("s-2")))));
+                             boost::beast::flat_buffer buffer;
+                             HttpRequest watch;
+                             error_code failed;
+                             http::read(s, buffer, watch, failed);
+                             request_after_snapshot = std::string(watch.target());
+                             ScriptedDiscovery::Open(s);
+                             SendRaw(s, Chunk(List(43, Members(kMember("s-3")), false) + "\n"));
+                             ReadToEnd(s);
+                           }});
+  MovingClient client(before.address());
+  client.options.reload_bound = milliseconds(0);
+  client.Start();
+  ASSERT_TRUE(before.WaitForCalls(1));
+  client.Move(after.address());
+  ASSERT_TRUE(client.failures.WaitFor([](int n) { return n == 1; }));
+  failure_reported.Update([](bool& done) { done = true; });
+  ASSERT_TRUE(client.WaitForLists(3));
+  EXPECT_EQ(client.lists.Get()[2].endpoints[0].id, "s-3");
+  EXPECT_EQ(request_after_snapshot, "/v1/endpoints?stream=1&index=42");
+  EXPECT_EQ(after.calls.Get(), (Calls{kWatchFrom41, kSnapshot}));
+}
+
+// The decision module polls while the first call of a migration waits at discovery: that call goes on.
+TEST(ReloadOfDiscovery, PollDuringAMigrationDoesNotRepeatItsCall) {
+  ScriptedDiscovery before({});
+  WaitableValue<bool> polled;
+  ScriptedDiscovery after({[&](Tcp::socket& s) {
+    polled.WaitFor([](bool done) { return done; });
+    ScriptedDiscovery::Open(s);
+    SendRaw(s, Chunk(List(42, Members(kMember("s-1"))) + "\n"));
+    ReadToEnd(s);
+  }});
+  MovingClient client(before.address());
+  client.Start();
+  ASSERT_TRUE(before.WaitForCalls(1));
+  client.Move(after.address());
+  ASSERT_TRUE(after.WaitForCalls(1));
+  asio::post(client.io, [&] {
+    client.discovery->Watch();
+    polled.Update([](bool& done) { done = true; });
+  });
+  ASSERT_TRUE(client.WaitForLists(1));
+  EXPECT_EQ(after.calls.Get(), Calls{kWatchFrom41});
+}
+
 // Changes of a lower revision, or a revision that discovery does not know, do not continue the known list:
 // nothing is applied before a snapshot has come.
 TEST(ReloadOfDiscovery, AnotherHistoryIsReadFromASnapshot) {
