Build WithRequestId of the tests without std::string::replace

GCC 12.2 on arm64 reports -Wrestrict from within std::string::replace, and the tests are built with -Werror. The function now puts the same string together with substr and append; its result is unchanged, and no warning is switched off. Measured by the build of the tests and the tests that use the function.

--- a/tests/support/client.h
+++ b/tests/support/client.h
@@ -65,9 +65,12 @@
 inline std::string Numbered(std::string name, std::size_t n) { return name.append(std::to_string(n)); }
 
 // @return `request` with another Req-Id.
-inline std::string WithRequestId(std::string request, const std::string& id) {
+inline std::string WithRequestId(const std::string& request, const std::string& id) {
   const std::size_t from = request.find("Req-Id: ") + 8;
-  return request.replace(from, request.find("\r\n", from) - from, id);
+  std::string result = request.substr(0, from);
+  result.append(id);
+  result.append(request.substr(request.find("\r\n", from)));
+  return result;
 }
 
 }  // namespace copperpoint::testing
