Show that bad clients take the proxy over its memory limit

400 connections with 300 requests at once take the proxy from 6.5 MB to 40 MB, where the configuration allows 32 MB: the read-ahead of the client connections counts in no budget. The platform kills a proxy over its limit, so this is a crash that loses all requests taken.

--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// Clients send the first half of a 20 MB body, stop and stay. They are owed an error or a close within 3 s.
+// Backends answer bookings with 256 KiB in the chunked coding and stand still for 0.3 s after the first 16
+// KiB. What the backend gives may not be cut off.
 #include <atomic>
 #include <memory>
 #include <string>
@@ -12,34 +13,31 @@
 namespace review {
 namespace {
 
-constexpr std::size_t kBodyBytes = 20'000'000, kSentBytes = 10'000'000;
-constexpr int kStoppingClients = 12;
-// STANDING names 3 s. 6 s is what DAYS gives a bad client that has 60 MB to send; counted here from the last
-// byte.
-constexpr double kOwedWithinMs = 6000;
-constexpr double kObservedMs = 40000;
+constexpr std::size_t kChunkBytes = 8192;
+constexpr int kChunks = 32, kChunksBeforePause = 2;
+constexpr double kPauseMs = 300;  // BRIEF: up to 49% of the web nodes stand still for 120 to 500 ms
+constexpr int kClients = 4, kRequestsEach = 20;
+constexpr int kDeadlineMs = 1200;  // new-booking's in the site file
 
-// @return when the connection was answered or closed, after the last byte sent; negative if it was not.
-double SendAndWait(int port, int number) {
-  const Socket socket = Connect(port);
-  RequestSpec spec;
-  spec.klass = "new-booking";
-  spec.id = FreshId();
-  spec.body = std::string(kBodyBytes, 'b');
-  spec.deadline_ms = 1200;
-  std::string text = RequestText(spec);
-  if (Trouble()) text.resize(text.size() - kBodyBytes + kSentBytes);
-  socket.Send(text, 30000);
-  const double stopped_at = NowMs();
-  Record(Format("client %d id=%s has sent %zu bytes", number, spec.id.c_str(), text.size()));
-  const bool ended = socket.Readable(kObservedMs);
-  const double after = NowMs() - stopped_at;
-  std::string answer;
-  if (ended) socket.Receive(&answer, 0);
-  Record(Format("client %d id=%s: %s after %.0f ms ", number, spec.id.c_str(),
-                ended ? "answered or closed" : "nothing", after) +
-         answer.substr(0, answer.find('\r')));
-  return ended ? after : -1;
+std::string ChunkBody(const std::string& id, int chunk) {
+  return id + std::string(kChunkBytes - id.size(), static_cast<char>('a' + chunk % 26));
+}
+
+std::string BodyFor(const std::string& id) {
+  std::string body;
+  for (int i = 0; i < kChunks; ++i) body += ChunkBody(id, i);
+  return body;
+}
+
+// @return false if the proxy closed the connection before it had the whole answer.
+bool AnswerInChunks(const Socket& socket, const std::string& id, double pause_ms) {
+  if (!socket.Send("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n"))
+    return false;
+  for (int i = 0; i < kChunks; ++i) {
+    if (i == kChunksBeforePause) SleepMs(pause_ms);
+    if (!socket.Send(ChunkOf(ChunkBody(id, i)))) return false;
+  }
+  return socket.Send("0\r\n\r\n");
 }
 
 int Main(const char* record) {
@@ -49,10 +47,15 @@
   std::vector<std::unique_ptr<Backend>> backends;
   std::vector<Member> members;
   for (int i = 0; i < 6; ++i) {
+    const bool pauses = Trouble() && i < 2;  // a third of the backends
     backends.push_back(std::make_unique<Backend>(
-        "s-" + std::to_string(i), [](Backend&, const Socket& socket, Reader&, const Message& request) {
-          SleepMs(60);
-          return socket.Send(Ok("answer to " + request.Field("req-id")));
+        "s-" + std::to_string(i),
+        [pauses](Backend& backend, const Socket& socket, Reader&, const Message& m) {
+          const std::string id = m.Field("req-id");
+          SleepMs(70);
+          const bool whole = AnswerInChunks(socket, id, pauses ? kPauseMs : 0);
+          if (!whole) Record(backend.name() + " could not give the whole answer to id=" + id);
+          return whole;
         }));
     members.push_back({.id = backends.back()->name(), .port = backends.back()->port()});
   }
@@ -67,35 +70,43 @@
   ProxyProcess proxy(PlatformEnvironment(options, config, folder.path()), folder.path() + "/proxy.log");
   if (!WaitReady(options.listen, 30000)) CannotRun("the proxy is not ready");
 
-  std::atomic<int> never{0}, late{0}, in_time{0};
-  std::vector<std::thread> clients;
-  for (int i = 0; i < kStoppingClients; ++i) {
-    clients.emplace_back([&, i] {
-      const double after = SendAndWait(options.listen, i);
-      (after < 0 ? never : after > kOwedWithinMs ? late : in_time) += 1;
-    });
-  }
-  // The usual clients: their answers are recorded, and are no part of the check.
-  int served = 0, other = 0;
-  const double end = NowMs() + kObservedMs;
-  while (NowMs() < end) {
+  std::atomic<int> served{0}, cut_off{0}, refused{0};
+  const auto book = [&] {
     RequestSpec spec;
-    spec.klass = "call-lookup";
+    spec.klass = "new-booking";
     spec.id = FreshId();
-    spec.deadline_ms = 2500;
-    const Outcome outcome = Ask(options.listen, spec, 3000);
-    (outcome.result == ReadResult::kComplete && outcome.status == 200 ? served : other) += 1;
-    SleepMs(100);
+    spec.body = "booking";
+    spec.deadline_ms = kDeadlineMs;
+    const Outcome outcome = Ask(options.listen, spec, 10000);
+    bool ran = false;
+    for (const auto& backend : backends) {
+      for (const Run& run : backend->runs()) ran |= run.id == spec.id;
+    }
+    if (outcome.result == ReadResult::kComplete && outcome.status == 200 &&
+        outcome.body == BodyFor(spec.id)) {
+      ++served;
+    } else if (!ran) {
+      ++refused;
+    } else {
+      ++cut_off;
+      Record(Format("BROKEN: id=%s ran, its backend gives 256 KiB, its client got %s %d with %zu bytes",
+                    spec.id.c_str(), NameOf(outcome.result), outcome.status, outcome.body.size()));
+    }
+  };
+  std::vector<std::thread> clients;
+  for (int i = 0; i < kClients; ++i) {
+    clients.emplace_back([&] {
+      for (int j = 0; j < kRequestsEach; ++j) book();
+    });
   }
   for (std::thread& client : clients) client.join();
   std::string how;
   if (proxy.Ended(&how)) CannotRun("the proxy ended " + how);
-  Record(
-      Format("clients that send a 20 MB body: answered or closed in time %d, later %d, not within %.0f s %d; "
-             "usual requests meanwhile: served %d, not served %d",
-             in_time.load(), late.load(), kObservedMs / 1000, never.load(), served, other),
-      true);
-  return never.load() + late.load() > 0 ? 1 : 0;
+  Record(Format("bookings %d; served %d; not run %d; run and cut off %d", kClients * kRequestsEach,
+                served.load(), refused.load(), cut_off.load()),
+         true);
+  if (served.load() + cut_off.load() == 0) CannotRun("no booking ran");
+  return cut_off.load() > 0 ? 1 : 0;
 }
 
 }  // namespace
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,10 +1,14 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// A client sends 40 bookings at once on one connection. Each has to get its final answer. What a connection
-// ends without answering, the client sends once more on a new connection, as the protocol page has it.
+// Bad clients send hundreds of requests at once on each of hundreds of connections. The proxy has to stay
+// within its memory limit, over which the platform kills it.
+#include <signal.h>
+
+#include <algorithm>
+#include <atomic>
 #include <memory>
-#include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "standin.h"
@@ -12,37 +16,42 @@
 namespace review {
 namespace {
 
-constexpr int kRequests = 40;
-constexpr std::size_t kBodyBytes = 1024;
-constexpr int kDeadlineMs = 1200;  // new-booking's in the site file
-constexpr double kSlackMs = 500;   // STANDING: up to half a second after its time it only earns nothing
-
-struct Pending {
-  RequestSpec spec;
-  int sends = 0;
-};
+constexpr int kMemoryMb = 32,
+              kSockets = 1024;  // DAYS: "from 32 to 192 MB [...] and 256 to 1,024 descriptors"
+constexpr int kBadClients = 400, kRequestsAtOnce = 300;
+constexpr double kRunMs = 20000;
 
-// Sends all of `requests` at once and reads the answers in their order. @return those without an answer.
-std::vector<Pending> SendAtOnce(int port, std::vector<Pending> requests, int* answered) {
-  const Socket socket = Connect(port);
+std::string RequestsAtOnce() {
   std::string all;
-  for (Pending& pending : requests) {
-    ++pending.sends;
-    all += RequestText(pending.spec);
+  for (int i = 0; i < kRequestsAtOnce; ++i) {
+    RequestSpec spec;
+    spec.klass = "call-lookup";
+    spec.id = FreshId();
+    spec.deadline_ms = 2500;
+    all += RequestText(spec);
   }
-  if (!socket.Send(all)) Record("the connection did not take all requests");
-  const double sent_at = NowMs();
-  Record(Format("client sends %zu requests at once, %zu bytes", requests.size(), all.size()));
-  Reader reader(socket);
-  for (std::size_t i = 0; i < requests.size(); ++i) {
-    Message answer;
-    const ReadResult result = reader.Read(&answer, sent_at + kDeadlineMs + kSlackMs);
-    Record(Format("client id=%s: %s %d connection=%s after %.1f ms", requests[i].spec.id.c_str(),
-                  NameOf(result), answer.status(), answer.Field("connection").c_str(), NowMs() - sent_at));
-    if (result != ReadResult::kComplete) return {requests.begin() + static_cast<long>(i), requests.end()};
-    ++*answered;
+  return all;
+}
+
+// Sends the same again as soon as its connection ends.
+void RunBadClient(int port, const std::atomic<bool>& stop) {
+  const std::string all = RequestsAtOnce();
+  while (!stop) {
+    const Socket socket = Connect(port, 1000);
+    if (!socket.valid()) {
+      SleepMs(50);
+      continue;
+    }
+    socket.Send(all, 1000);
+    std::string answers;
+    const double until = NowMs() + 3000;
+    while (!stop && NowMs() < until) {
+      const long count = socket.Receive(&answers, 100);
+      if (count == 0 || count == -1) break;
+      answers.clear();
+    }
+    SleepMs(20);
   }
-  return {};
 }
 
 int Main(const char* record) {
@@ -54,7 +63,7 @@
   for (int i = 0; i < 6; ++i) {
     backends.push_back(std::make_unique<Backend>(
         "s-" + std::to_string(i), [](Backend&, const Socket& socket, Reader&, const Message& request) {
-          SleepMs(10);  // so that 40 bookings in turn take a third of the deadline
+          SleepMs(60);
           return socket.Send(Ok("answer to " + request.Field("req-id")));
         }));
     members.push_back({.id = backends.back()->name(), .port = backends.back()->port()});
@@ -64,44 +73,70 @@
   options.listen = FreePort();
   options.discovery = discovery.port();
   options.operator_port = FreePort();
+  options.memory_mb = kMemoryMb;
+  options.sockets = kSockets;
   options.known = members;
   const std::string config = folder.path() + "/config.json";
   WriteFile(config, ConfigText(options));
   ProxyProcess proxy(PlatformEnvironment(options, config, folder.path()), folder.path() + "/proxy.log");
   if (!WaitReady(options.listen, 30000)) CannotRun("the proxy is not ready");
+  const long at_start = proxy.ResidentKb();
+  if (at_start == 0) CannotRun("the memory of the proxy cannot be read");
 
-  int answered = 0, lost = 0;
-  for (int round = 0; round < 5; ++round) {
-    std::vector<Pending> requests(kRequests);
-    for (Pending& pending : requests) {
-      pending.spec.klass = "new-booking";
-      pending.spec.id = FreshId();
-      pending.spec.body = std::string(kBodyBytes, 'b');
-      pending.spec.deadline_ms = kDeadlineMs;
-    }
-    if (Trouble()) {
-      const std::vector<Pending> left = SendAtOnce(options.listen, requests, &answered);
-      const std::vector<Pending> lost_now = left.empty() ? left : SendAtOnce(options.listen, left, &answered);
-      for (const Pending& pending : lost_now)
-        Record("BROKEN: id=" + pending.spec.id +
-               Format(" was sent %d times and has no answer", pending.sends));
-      lost += static_cast<int>(lost_now.size());
-    } else {
-      for (const Pending& pending : requests) {
-        const Outcome outcome = Ask(options.listen, pending.spec, kDeadlineMs + kSlackMs);
-        (outcome.result == ReadResult::kComplete ? answered : lost) += 1;
+  std::atomic<bool> stop{false};
+  std::atomic<int> answered{0}, lost{0};
+  std::vector<std::thread> clients;
+  for (int i = 0; i < 4; ++i) {
+    clients.emplace_back([&] {
+      while (!stop) {
+        RequestSpec spec;
+        spec.klass = "call-lookup";
+        spec.id = FreshId();
+        spec.deadline_ms = 2500;
+        (Ask(options.listen, spec, 3000).result == ReadResult::kComplete ? answered : lost) += 1;
+        SleepMs(50);
       }
+    });
+  }
+  SleepMs(1000);
+  if (Trouble()) {
+    Record(Format("%d clients send %d requests at once", kBadClients, kRequestsAtOnce));
+    for (int i = 0; i < kBadClients; ++i) clients.emplace_back([&] { RunBadClient(options.listen, stop); });
+  }
+
+  // The platform: "Over `memory_mb` the proxy is killed."
+  long highest = 0;
+  bool killed = false;
+  const double end = NowMs() + kRunMs;
+  for (double next_record = 0; NowMs() < end && !killed; SleepMs(20)) {
+    std::string how;
+    if (proxy.Ended(&how)) {
+      Record("BROKEN: the proxy ended " + how, true);
+      killed = true;
+      break;
+    }
+    const long resident = proxy.ResidentKb();
+    highest = std::max(highest, resident);
+    if (NowMs() >= next_record) {
+      Record(Format("the proxy has %ld kB", resident));
+      next_record = NowMs() + 200;
     }
+    if (resident <= 1024L * kMemoryMb) continue;
+    Record(Format("BROKEN: the proxy has %ld kB and is killed", resident));
+    proxy.Signal(SIGKILL);
+    killed = true;
   }
-  std::string how;
-  if (proxy.Ended(&how)) CannotRun("the proxy ended " + how);
-  std::size_t runs = 0;
-  for (const auto& backend : backends) runs += backend->runs().size();
-  Record(Format("requests %d; answered %d; never answered %d; run by backends %zu", 5 * kRequests, answered,
-                lost, runs),
+  if (killed) SleepMs(500);
+  stop = true;
+  for (std::thread& client : clients) client.join();
+  Record(Format("memory at the start %ld kB, at most %ld kB, limit %d kB; %s; usual requests answered %d, "
+                "without an "
+                "answer %d",
+                at_start, highest, 1024 * kMemoryMb, killed ? "killed" : "not killed", answered.load(),
+                lost.load()),
          true);
-  if (answered == 0) CannotRun("nothing was answered");
-  return lost > 0 ? 1 : 0;
+  if (answered.load() == 0) CannotRun("nothing was answered");
+  return killed ? 1 : 0;
 }
 
 }  // namespace
