Stream a response of unknown length when its backend pauses, instead of cutting it off

Callers got 502 for a booking that had run, or lost a lookup after five attempts, when the backend of a large chunked or close-delimited answer paused for more than 0.1 s, also between a header and its body, within a header, or behind a 1xx response.

Cause: ResponseReader buffers the first 64 KiB of a body whose length it does not know, and the stall limit of small responses (0.1 s from the first byte of anything) or the attempt's timeout ended the attempt.

Change: a limit that expires while a 200 of unknown length is buffered starts the stream, at the latest 0.25 s after the header. A header has 0.6 s for each piece; behind a 1xx only the attempt's timeout counts. A streamed response that may be small ends 0.4 s after its client's deadline. Given up: retries of small responses of unknown length that pause or never end; those that fail within the buffering are retried as before, and so are responses of known length.

--- a/src/proxy/config/operator_settings.cpp
+++ b/src/proxy/config/operator_settings.cpp
@@ -34,8 +34,20 @@
   v.Milliseconds(
       "drained_ms", lingering_close,
       {.text = "for a client to close once the proxy has ended its side (a lingering close)", .max = kHour});
-  v.Milliseconds("answer_whole_ms", response_stall,
-                 {.text = "without a byte of a backend's response that has begun and is being buffered",
+  v.Milliseconds(
+      "answer_head_ms", response_header_stall,
+      {.text = "without a byte of the header of a backend's response that has begun; also the longest "
+               "pause of a response of unknown length after its client's deadline",
+       .min = 1,
+       .max = kHour});
+  v.Milliseconds(
+      "answer_whole_ms", response_stall,
+      {.text = "without a byte of a backend's response that is being buffered; a 200 of unknown length "
+               "is streamed from then on, another one fails",
+       .min = 1,
+       .max = kHour});
+  v.Milliseconds("answer_held_ms", response_buffering,
+                 {.text = "after which a 200 of unknown length is streamed, whatever has arrived",
                   .min = 1,
                   .max = kHour});
   v.Milliseconds("stalled_ms", body_stall,
--- a/src/proxy/config/operator_settings.h
+++ b/src/proxy/config/operator_settings.h
@@ -30,7 +30,9 @@
   Ms lingering_close{1000};             // for a client to close after the proxy has ended its side
 
   // ---- backends ----
+  Ms response_header_stall{600};         // without a byte of a response's header
   Ms response_stall{100};                // without a byte of a response that is being buffered
+  Ms response_buffering{250};            // for buffering a response of unknown length before it is streamed
   Ms body_stall{5000};                   // without a byte of a large body from or to a backend
   Ms reuse_delay{2};                     // before a backend connection is used again
   Ms removed_backend_retention{900000};  // after which the state of a removed backend is dropped
--- a/src/proxy/core/action_executor.cpp
+++ b/src/proxy/core/action_executor.cpp
@@ -56,7 +56,8 @@
   if (action.timeout.count() != 0) timeout = std::clamp(action.timeout, Duration(0), timeout);
   const AttemptRecord attempt{action.request, number, action.backend, now};
   request.attempt = backends_.SendRequest(
-      action.backend, request.message, {.timeout = timeout, .send_by = clock_.ToSteady(action.send_by)},
+      action.backend, request.message,
+      {.timeout = timeout, .send_by = clock_.ToSteady(action.send_by), .response_due = request.deadline},
       [this, attempt](AttemptResult result) { OnAttemptCompleted(attempt, std::move(result)); },
       request.upload);
 }
--- a/src/proxy/upstream/attempt.h
+++ b/src/proxy/upstream/attempt.h
@@ -38,6 +38,8 @@
   // Latest time at which the last byte of the request may be written. An attempt that is not written
   // completely by then ends as kNotSent.
   Steady::time_point send_by = Steady::time_point::max();
+  // When the client gives up. Unlike `timeout`, it doesn't end before a retry.
+  Steady::time_point response_due = Steady::time_point::max();
 };
 
 // An attempt in progress, owned by the connection that it uses.
@@ -50,7 +52,9 @@
   Steady::duration timeout{};
   Steady::time_point deadline{};  // start plus `timeout` or, with an upload, its last byte plus `timeout`
   Steady::time_point send_by = Steady::time_point::max();  // as in AttemptLimits
-  Steady::time_point written_at{};                         // when the last byte of an upload was written
+  Steady::time_point response_due =
+      Steady::time_point::max();    // as in AttemptLimits; of an upload, `deadline`
+  Steady::time_point written_at{};  // when the last byte of an upload was written
   bool completing = false;  // its completion is posted to the event loop; all other events are ignored
 
   bool in_progress() const { return on_completed != nullptr; }
--- a/src/proxy/upstream/backend_connection.cpp
+++ b/src/proxy/upstream/backend_connection.cpp
@@ -21,6 +21,10 @@
 using Tcp = asio::ip::tcp;
 using Error = boost::system::error_code;
 
+// After the client's deadline, a response that comes this late is still received, and one that failed is
+// still told.
+constexpr std::chrono::milliseconds kLateResponseTime{400};
+
 Steady::duration ToSteady(Duration duration) { return std::chrono::ceil<Steady::duration>(duration); }
 
 // @return true if this process or machine lacks a resource, and the backend is not at fault.
@@ -105,6 +109,7 @@
     writer_.Clear();
     attempt_.written_at = Steady::now();
     attempt_.deadline = std::min(attempt_.written_at + attempt_.timeout, pool_->answer_by());
+    attempt_.response_due = attempt_.deadline;
     SetTimer(attempt_.deadline);
   } else if (attempt_.send_by < attempt_.deadline) {
     SetTimer(attempt_.deadline);
@@ -114,7 +119,6 @@
                        if (!self->IsCurrent(id)) return;
                        if (error) return self->FailResponse();
                        self->EnterState(ConnectionState::kReadingResponse);
-                       self->RestartResponseTimer();
                        self->reader_.Read();
                      });
 }
@@ -128,8 +132,28 @@
 }
 
 // Limits the time between reads of a response: a backend that stops halfway may keep its connection open.
-void BackendConnection::RestartResponseTimer() {
-  SetTimer(std::min(attempt_.deadline, Steady::now() + timeouts().response_stall));
+void BackendConnection::RestartResponseTimer(Steady::duration stall) {
+  auto at = std::min(attempt_.deadline, Steady::now() + stall);
+  if (reader_.buffers_unknown_length()) at = std::min(at, buffering_until_);
+  SetTimer(at);
+}
+
+void BackendConnection::OnBodyStarted() {
+  buffering_until_ = Steady::now() + timeouts().response_buffering;
+  RestartResponseTimer(timeouts().response_stall);
+}
+
+// A large response is timed by its first bytes, and is read for as long as its backend sends it. A response
+// of unknown length that may still be a small one must have ended soon after its client's deadline: from then
+// on it may pause only for as long as a backend that is well.
+void BackendConnection::RestartStreamTimer(bool may_be_small) {
+  const auto now = Steady::now();
+  Steady::time_point at = now + timeouts().body_stall;
+  if (may_be_small) {
+    const auto longest_pause = now + timeouts().response_header_stall;
+    at = std::min(at, std::max<Steady::time_point>(longest_pause, attempt_.response_due + kLateResponseTime));
+  }
+  SetTimer(at);
 }
 
 void BackendConnection::OnResponse(HttpResponse&& response, bool reusable) {
@@ -187,6 +211,7 @@
 void BackendConnection::OnTimer() {
   // Without an attempt in progress, the idle timeout or a streamed response's stall timeout has expired.
   if (!attempt_.in_progress()) return Close();
+  if (reader_.buffers_unknown_length()) return reader_.StopBuffering();
   Fail(OutcomeOfTimeout(state_, LimitReached()));
 }
 
--- a/src/proxy/upstream/backend_connection.h
+++ b/src/proxy/upstream/backend_connection.h
@@ -79,7 +79,15 @@
 
   // Used by RequestWriter and ResponseReader.
   void SetTimer(Steady::time_point at);
-  void RestartResponseTimer();
+  // Limits the time until the next read of a response, within the attempt's timeout, and while the body of
+  // unknown length is buffered, within its own limit.
+  void RestartResponseTimer(Steady::duration stall);
+  // Leaves the attempt's timeout as the only limit.
+  void RestartAttemptTimer() { SetTimer(attempt_.deadline); }
+  // Limits the time until the next read of a streamed response. @param may_be_small as ResponseReader's.
+  void RestartStreamTimer(bool may_be_small);
+  // The header of the final response has been read.
+  void OnBodyStarted();
   const Timeouts& timeouts() const;
   Steady::time_point answer_by() const;
   bool closed() const { return state_ == ConnectionState::kClosed; }
@@ -107,6 +115,7 @@
   ResponseReader reader_;
   ConnectionState state_ = ConnectionState::kConnecting;
   std::uint64_t attempt_id_ = 0;
+  Steady::time_point buffering_until_{};  // latest end of buffering a response of unknown length
   Attempt attempt_;
   Steady::time_point idle_since_{};
 };
--- a/src/proxy/upstream/backend_pool.cpp
+++ b/src/proxy/upstream/backend_pool.cpp
@@ -97,7 +97,8 @@
                       .started_at = now,
                       .timeout = attempt_timeout,
                       .deadline = now + attempt_timeout,
-                      .send_by = limits.send_by});
+                      .send_by = limits.send_by,
+                      .response_due = limits.response_due});
   if (reused) {
     connection->Reuse();
   } else if (backend.address.port() == 0) {
--- a/src/proxy/upstream/response_reader.cpp
+++ b/src/proxy/upstream/response_reader.cpp
@@ -18,6 +18,7 @@
 using Error = boost::system::error_code;
 
 constexpr std::size_t kMaxHeaderBytes = std::size_t{16} * 1024;
+constexpr std::size_t kHeaderReadBytes = std::size_t{4} * 1024;
 constexpr int kMaxInformationalResponses = 8;
 constexpr unsigned kFirstFinalStatus = 200;
 
@@ -29,19 +30,50 @@
 void ResponseReader::Reset() {
   body_.clear();
   informational_responses_ = 0;
+  body_bytes_ = 0;
+  buffers_unknown_length_ = stops_buffering_ = false;
 }
 
 void ResponseReader::Read() {
   parser_.emplace();
   parser_->body_limit(kMaxBody);
   parser_->header_limit(kMaxHeaderBytes);
-  http::async_read_header(socket_, buffer_, *parser_,
-                          [this, connection = connection_.shared_from_this(), id = connection_.attempt_id()](
-                              const Error& error, std::size_t) {
-                            if (!connection->IsCurrent(id)) return;
-                            if (error) return connection->FailResponse();
-                            OnHeader();
-                          });
+  ParseHeader();
+}
+
+void ResponseReader::ParseHeader() {
+  if (buffer_.size() > 0) {
+    Error error;
+    buffer_.consume(parser_->put(buffer_.data(), error));
+    if (error && error != http::error::need_more) return connection_.FailResponse();
+    if (parser_->is_header_done()) return OnHeader();
+  }
+  AwaitHeaderBytes();
+}
+
+// Between a 1xx response and the next one the backend still processes the request; a header that has begun is
+// complete soon, and its time limit counts anew from each of its pieces.
+void ResponseReader::AwaitHeaderBytes() {
+  if (buffer_.size() > 0) {
+    connection_.RestartResponseTimer(connection_.timeouts().response_header_stall);
+  } else {
+    connection_.RestartAttemptTimer();
+  }
+  socket_.async_wait(asio::ip::tcp::socket::wait_read, [this, connection = connection_.shared_from_this(),
+                                                        id = connection_.attempt_id()](const Error& error) {
+    if (!connection->IsCurrent(id)) return;
+    if (error || ReceiveHeaderBytes()) return connection->FailResponse();
+    ParseHeader();
+  });
+}
+
+boost::system::error_code ResponseReader::ReceiveHeaderBytes() {
+  Error error;
+  const std::size_t bytes = socket_.read_some(buffer_.prepare(kHeaderReadBytes), error);
+  buffer_.commit(bytes);
+  const bool retry = error == asio::error::would_block || error == asio::error::try_again ||
+                     error == asio::error::interrupted;
+  return retry ? Error{} : error;
 }
 
 void ResponseReader::OnHeader() {
@@ -53,6 +85,9 @@
     return invalid ? connection_.FailResponse() : Read();
   }
   if (!IsFramingAcceptable()) return connection_.FailResponse();
+  buffers_unknown_length_ =
+      !parser_->is_done() && !parser_->content_length() && header.result() == http::status::ok;
+  connection_.OnBodyStarted();
   ReadBody();
 }
 
@@ -70,22 +105,35 @@
   if (parser_->is_done())
     return connection_.OnResponse(HttpResponse(parser_->get().base(), std::move(body_)), allows_reuse());
   const auto length = parser_->content_length();
-  if (body_.size() > kMaxBufferedBody || (length && *length > kMaxBufferedBody)) {
+  if (stops_buffering_ || body_.size() > kMaxBufferedBody || (length && *length > kMaxBufferedBody)) {
     const bool is_ok = parser_->get().result() == http::status::ok;
     return is_ok ? StartStream() : connection_.FailResponse();
   }
   ReadBodyChunk(socket_, buffer_, *parser_, chunk_,
                 [this, connection = connection_.shared_from_this(), id = connection_.attempt_id()](
                     const Error& error, auto bytes_read) {
-                  if (!connection->IsCurrent(id)) return;
-                  if (error) return connection->FailResponse();
-                  body_.append(chunk_.data(), bytes_read());
-                  connection->RestartResponseTimer();
-                  ReadBody();
+                  if (connection->IsCurrent(id)) OnBodyChunk(error, bytes_read());
                 });
 }
 
+void ResponseReader::OnBodyChunk(const Error& error, std::size_t bytes) {
+  const bool interrupted = stops_buffering_ && error == asio::error::operation_aborted;
+  if (error && !interrupted) return connection_.FailResponse();
+  body_.append(chunk_.data(), bytes);
+  body_bytes_ += bytes;
+  connection_.RestartResponseTimer(connection_.timeouts().response_stall);
+  ReadBody();
+}
+
+// The read in progress may have bytes already, so that only its completion starts the stream.
+void ResponseReader::StopBuffering() {
+  if (std::exchange(stops_buffering_, true)) return;
+  Error ignored;
+  socket_.cancel(ignored);
+}
+
 void ResponseReader::StartStream() {
+  buffers_unknown_length_ = false;
   std::optional<std::uint64_t> length;
   if (parser_->content_length()) length = *parser_->content_length();
   connection_.OnStreamedResponse(HttpResponse(parser_->get().base(), std::move(body_)), length);
@@ -99,14 +147,16 @@
     });
     return;
   }
-  connection_.SetTimer(Steady::now() + connection_.timeouts().body_stall);
+  connection_.RestartStreamTimer(may_be_small());
   ReadBodyChunk(socket_, buffer_, *parser_, chunk_,
                 [this, connection = connection_.shared_from_this()](const Error& error, auto bytes_read) {
                   if (!connection->streaming() || !on_chunk_) return;
                   if (error) return connection->Close();
                   // The time in which the client receives the chunk does not count against the backend.
                   connection->SetTimer(Steady::time_point::max());
-                  CancelStreamedBody()(true, {chunk_.data(), bytes_read()}, parser_->is_done());
+                  const std::size_t bytes = bytes_read();
+                  body_bytes_ += bytes;
+                  CancelStreamedBody()(true, {chunk_.data(), bytes}, parser_->is_done());
                 });
 }
 
--- a/src/proxy/upstream/response_reader.h
+++ b/src/proxy/upstream/response_reader.h
@@ -8,6 +8,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/system/error_code.hpp>
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -30,11 +32,22 @@
   // Reads a response; called when its first bytes have arrived.
   void Read();
 
+  // @return whether the body of a 200 response is being buffered whose length is not known. It may be one
+  // that is too large to be buffered, and is streamed rather than failed when a time limit of the buffering
+  // expires.
+  bool buffers_unknown_length() const { return buffers_unknown_length_; }
+  // Streams the response from here on, instead of buffering more of it. Requires buffers_unknown_length().
+  void StopBuffering();
+
   // Reads the next chunk of a streamed body. `on_chunk` is called once, unless CancelStreamedBody is called
   // first, which returns it.
   void ReadStreamedBody(BodySource::OnBodyChunk on_chunk);
   BodySource::OnBodyChunk CancelStreamedBody();
 
+  // @return whether the length of the streamed body is unknown, and no more than a buffered one's has
+  // arrived.
+  bool may_be_small() const { return !parser_->content_length() && body_bytes_ <= kMaxBufferedBody; }
+
   // @return whether the response is completely read and leaves the connection usable for another request.
   bool allows_reuse() const;
 
@@ -42,9 +55,13 @@
   void Clear();
 
  private:
+  void ParseHeader();
+  void AwaitHeaderBytes();
+  boost::system::error_code ReceiveHeaderBytes();
   void OnHeader();
   bool IsFramingAcceptable() const;
   void ReadBody();
+  void OnBodyChunk(const boost::system::error_code& error, std::size_t bytes);
   void StartStream();
 
   BackendConnection& connection_;
@@ -55,6 +72,9 @@
   std::vector<char> chunk_;           // target of the read in progress
   BodySource::OnBodyChunk on_chunk_;  // callback of the streamed read in progress
   int informational_responses_ = 0;   // 1xx responses received before the final one
+  std::size_t body_bytes_ = 0;        // of the body, received so far
+  bool buffers_unknown_length_ = false;
+  bool stops_buffering_ = false;  // StopBuffering was called
 };
 
 }  // namespace copperpoint::proxy
--- a/tests/proxy/forwarding_test.cpp
+++ b/tests/proxy/forwarding_test.cpp
@@ -147,7 +147,7 @@
     return true;
   });
   ProxySetup setup(Members(MemberJson("s-1", backend.address())));
-  setup.timeouts.response_stall = std::chrono::milliseconds(20);
+  setup.timeouts.response_header_stall = std::chrono::milliseconds(20);
   setup.Start();
   Client client(setup.proxy->address);
   // The deadline is one minute, longer than the test waits: only the stall timeout can end the request.
--- a/tests/support/running_proxy.h
+++ b/tests/support/running_proxy.h
@@ -107,7 +107,9 @@
   // Raises the time limits that a slow machine could exceed; a test of such a limit sets it itself.
   explicit ProxySetup(std::vector<nlohmann::json> known)
       : config(ConfigJson(discovery.address(), std::move(known))) {
-    timeouts.request_head = timeouts.response_stall = std::chrono::minutes(1);
+    timeouts.request_head = std::chrono::minutes(1);
+    timeouts.response_header_stall = timeouts.response_stall = std::chrono::minutes(1);
+    timeouts.response_buffering = std::chrono::minutes(1);
   }
   void Start() {
     proxy::Config all = ParseConfigJson(config);
