Count all bytes kept for connections against the memory limit

The platform killed a process with 32 MB a few seconds after 400 clients had sent 300 requests at once each, and the requests it held were lost.

Cause: MemoryBudget counted request bodies only. A connection could hold 32 KiB sent ahead (allocated for each open request), 16 KiB of header or 400 KB of parsed short fields, the targets of its reads, a buffer for its lingering close, and as much for a response that is read slowly; the number of connections follows from the descriptors alone.

Change: reads go into one buffer for all connections; what is kept is counted in the new budget shares.buffers, a quarter of the memory, shared by both sides. Beyond 8 KiB each for input and header a connection needs room there: else a header gets 503, requests sent ahead are dropped behind the response as beyond 32 KiB before, responses are streamed in 4 KiB chunks. At most 128 fields, else 431. Given up: while others use the budget up, headers over 2 KiB may be rejected; small ones are granted.

--- a/src/proxy/config/operator_settings.cpp
+++ b/src/proxy/config/operator_settings.cpp
@@ -67,6 +67,10 @@
            {.text = "share of the descriptors for clients; backends have the rest", .min = 0.1, .max = 0.9});
   v.Number("bodies", body_memory,
            {.text = "share of the memory for clients' bodies that are buffered", .min = 0.01, .max = 0.8});
+  v.Number("buffers", buffer_memory,
+           {.text = "share of the memory for heads, for what clients send ahead and for responses in transit",
+            .min = 0.01,
+            .max = 0.8});
   v.Integer("kept_body", max_buffered_body_bytes,
             {.text = "most of a request's body that is buffered, where memory allows",
              .unit = "bytes",
--- a/src/proxy/config/operator_settings.h
+++ b/src/proxy/config/operator_settings.h
@@ -44,6 +44,7 @@
 struct ResourceShares {
   double client_descriptors = 0.6;  // fraction of the descriptors; backends have the rest
   double body_memory = 0.25;        // fraction of the memory, for clients' bodies
+  double buffer_memory = 0.25;      // fraction of the memory, for other parts of messages in transit
   // A larger body is streamed; so is a smaller one where memory is short.
   std::int64_t max_buffered_body_bytes = std::int64_t{1024} * 1024;
   std::int64_t min_body_rate_bytes_per_s = 48000;  // a client that sends its body more slowly is cut off
--- a/src/proxy/downstream/arrival_times.cpp
+++ b/src/proxy/downstream/arrival_times.cpp
@@ -6,10 +6,10 @@
 namespace copperpoint::proxy {
 
 void ArrivalTimes::Add(std::size_t bytes, Steady::time_point at) {
-  if (ranges_.size() < kMaxRanges) {
-    ranges_.push_back({bytes, at});
-  } else {
+  if (!ranges_.empty() && (ranges_.size() >= kMaxRanges || ranges_.back().at == at)) {
     ranges_.back().bytes += bytes;
+  } else {
+    ranges_.push_back({bytes, at});
   }
 }
 
--- a/src/proxy/downstream/client_listener.cpp
+++ b/src/proxy/downstream/client_listener.cpp
@@ -28,13 +28,15 @@
 }  // namespace
 
 ClientListener::ClientListener(asio::io_context& io, const Config& config, std::size_t max_connections,
-                               RequestHandler& handler, int inherited_fd)
+                               std::shared_ptr<MemoryBudget> buffer_memory, RequestHandler& handler,
+                               int inherited_fd)
     : io_(io),
       config_(config),
       acceptor_(io),
       accept_retry_timer_(io),
       shutdown_timer_(io),
-      sessions_(io, config, max_connections, handler, [this] { ScheduleAccept(); }) {
+      sessions_(io, config, max_connections, std::move(buffer_memory), handler,
+                [this] { ScheduleAccept(); }) {
   Listen(inherited_fd);
   Accept();
 }
--- a/src/proxy/downstream/client_listener.h
+++ b/src/proxy/downstream/client_listener.h
@@ -26,7 +26,7 @@
   // Starts listening, on the socket `inherited_fd` if that is not negative, otherwise at the address in
   // `config`. Throws boost::system::system_error on failure. `config` and `handler` must outlive this object.
   ClientListener(boost::asio::io_context& io, const Config& config, std::size_t max_connections,
-                 RequestHandler& handler, int inherited_fd = -1);
+                 std::shared_ptr<MemoryBudget> buffer_memory, RequestHandler& handler, int inherited_fd = -1);
   ClientListener(const ClientListener&) = delete;
   ClientListener& operator=(const ClientListener&) = delete;
 
--- a/src/proxy/downstream/client_session.cpp
+++ b/src/proxy/downstream/client_session.cpp
@@ -34,7 +34,10 @@
 }  // namespace
 
 ClientSession::ClientSession(SessionManager& manager, Tcp::socket socket)
-    : manager_(&manager), socket_(std::move(socket)), reader_(*this, socket_), writer_(*this, socket_) {}
+    : manager_(&manager),
+      socket_(std::move(socket)),
+      reader_(*this, socket_, manager.buffer_memory()),
+      writer_(*this, socket_, manager.buffer_memory()) {}
 
 void ClientSession::Start(std::optional<Steady::time_point> queued_since) {
   Error ignored;
@@ -146,6 +149,7 @@
 // No further request is read from this client: its bytes may be the rest of the one that could not be parsed.
 void ClientSession::OnInvalidRequest(http::status status, std::string text) {
   close_after_response_ = true;
+  reader_.DropRequest();
   WriteResponse(TextResponse(status, std::move(text) + '\n'));
 }
 
@@ -271,15 +275,15 @@
 }
 
 void ClientSession::DiscardInput() {
-  discard_buffer_.resize(kBodyChunkSize);
-  socket_.async_read_some(
-      asio::buffer(discard_buffer_), [self = shared_from_this()](const Error& error, std::size_t bytes) {
-        if (!self->IsLingering()) return;
-        self->discarded_bytes_ += bytes;
-        const std::size_t max_bytes = self->reader_.body_streaming() ? kMaxBody : kMaxDiscardedBytes;
-        if (error || self->discarded_bytes_ > max_bytes) return self->Close();
-        self->DiscardInput();
-      });
+  socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](const Error& failed) {
+    if (!self->IsLingering()) return;
+    Error error = failed;
+    if (!error) self->discarded_bytes_ += self->socket_.read_some(asio::buffer(ReadScratch()), error);
+    if (error == asio::error::would_block || error == asio::error::try_again) error = {};
+    const std::size_t max_bytes = self->reader_.body_streaming() ? kMaxBody : kMaxDiscardedBytes;
+    if (error || self->discarded_bytes_ > max_bytes) return self->Close();
+    self->DiscardInput();
+  });
 }
 
 void ClientSession::CloseImmediately() {
--- a/src/proxy/downstream/client_session.h
+++ b/src/proxy/downstream/client_session.h
@@ -13,15 +13,14 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include "proxy/clock.h"
 #include "proxy/config/config.h"
-#include "proxy/downstream/memory_budget.h"
 #include "proxy/downstream/request_handler.h"
 #include "proxy/downstream/request_reader.h"
 #include "proxy/downstream/response_writer.h"
 #include "proxy/downstream/session_state.h"
+#include "proxy/memory_budget.h"
 
 namespace copperpoint::proxy {
 
@@ -132,9 +131,7 @@
   bool http_1_0_ = false;          // version of the current request
   bool has_sent_request_ = false;  // at least one request was read
   bool close_after_response_ = false;
-  // Used by a lingering close. The reader's buffer cannot be used: its last read may still be in progress.
-  std::vector<char> discard_buffer_;
-  std::size_t discarded_bytes_ = 0;
+  std::size_t discarded_bytes_ = 0;  // by the lingering close
 };
 
 }  // namespace copperpoint::proxy
--- a/src/proxy/downstream/request_reader.cpp
+++ b/src/proxy/downstream/request_reader.cpp
@@ -7,9 +7,9 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <chrono>
+#include <iterator>
 #include <memory>
 #include <utility>
 
@@ -24,8 +24,18 @@
 using Error = boost::system::error_code;
 
 constexpr std::size_t kMaxHeaderBytes = std::size_t{16} * 1024;
+// A header of many short fields takes a multiple of its own size in memory.
+constexpr std::size_t kMaxHeaderFields = 128;
+constexpr std::size_t kLinesWithoutField = 2;  // the request line and the empty one
+constexpr std::size_t kFieldOverheadBytes = 128;
+// Copies of a header that are in memory until its response: the message, and the text that is forwarded.
+constexpr std::size_t kHeaderCopies = 2;
+// Read of a header at once, so that little of what follows it is read with it.
+constexpr std::size_t kHeaderReadBytes = std::size_t{2} * 1024;
 constexpr std::size_t kMaxReadAheadBytes = std::size_t{32} * 1024;
-constexpr std::size_t kDiscardBufferBytes = 4096;
+constexpr std::size_t kReadAheadStepBytes = std::size_t{2} * 1024;
+// The capacity of a buffer that grows, as a multiple of its content.
+constexpr std::size_t kBufferGrowth = 2;
 // Maximum reads for one client in one turn of the event loop, so that other clients are served in between.
 constexpr int kMaxReadsPerTurn = 32;
 // Copies of a body that are in memory while it is read.
@@ -43,15 +53,20 @@
 
 }  // namespace
 
-RequestReader::RequestReader(ClientSession& session, asio::ip::tcp::socket& socket)
-    : session_(session), socket_(socket), buffer_(kMaxBufferedBody + kMaxHeaderBytes) {}
+RequestReader::RequestReader(ClientSession& session, asio::ip::tcp::socket& socket,
+                             const std::shared_ptr<MemoryBudget>& buffer_memory)
+    : session_(session),
+      socket_(socket),
+      buffer_(kMaxBufferedBody + kMaxHeaderBytes),
+      input_memory_(buffer_memory),
+      header_memory_(buffer_memory) {}
 
 bool RequestReader::PrepareForNextRequest() {
-  ReleaseMemory();
   parser_.reset();
+  buffer_.shrink_to_fit();
+  ReleaseMemory();
   if (buffer_.size() > 0) return true;
   arrivals_.Clear();
-  buffer_.shrink_to_fit();
   return false;
 }
 
@@ -60,28 +75,60 @@
   parser_->header_limit(kMaxHeaderBytes);
   parser_->body_limit(kMaxBody);
   body_.clear();
-  http::async_read_header(socket_, buffer_, *parser_,
-                          [this, session = session_.shared_from_this(), buffered = buffer_.size()](
-                              const Error& error, std::size_t header_bytes) {
-                            if (!session->IsReadingRequest()) return;
-                            if (error) return OnReadError(error);
-                            request_bytes_ = header_bytes + parser_->content_length().value_or(0);
-                            arrived_before_read_ = !parser_->chunked() && request_bytes_ <= buffered;
-                            OnHeader();
-                          });
-}
-
-void RequestReader::OnHeader() {
+  header_lines_ = {};
+  buffered_before_read_ = buffer_.size();
+  // Posted, so that other clients are served before a request that was sent ahead.
+  if (buffered_before_read_ == 0) return ReceiveHeaderBytes();
+  asio::post(socket_.get_executor(), [this, session = session_.shared_from_this()] {
+    if (session->IsReadingRequest()) ParseHeader();
+  });
+}
+
+void RequestReader::ParseHeader() {
+  const auto received = buffer_.data();
+  const std::size_t lines = header_lines_.Count({static_cast<const char*>(received.data()), received.size()});
+  if (lines > kMaxHeaderFields + kLinesWithoutField)
+    return session_.OnInvalidRequest(http::status::request_header_fields_too_large, "too many header fields");
+  Error error;
+  const std::size_t header_bytes = parser_->put(buffer_.data(), error);
+  buffer_.consume(header_bytes);
+  if (error == http::error::need_more) return AwaitHeaderBytes();
+  if (error) return OnReadError(error);
+  request_bytes_ = header_bytes + parser_->content_length().value_or(0);
+  arrived_before_read_ = !parser_->chunked() && request_bytes_ <= buffered_before_read_;
+  OnHeader(header_bytes);
+}
+
+void RequestReader::AwaitHeaderBytes() {
+  socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [this, session = session_.shared_from_this()](const Error& error) {
+                       if (!session->IsReadingRequest()) return;
+                       if (error) return OnReadError(error);
+                       ReceiveHeaderBytes();
+                     });
+}
+
+void RequestReader::ReceiveHeaderBytes() {
+  if (!ReserveInput(kHeaderReadBytes)) return RejectForMemory();
+  Error error;
+  const std::size_t bytes = socket_.read_some(asio::buffer(ReadScratch().data(), kHeaderReadBytes), error);
+  if (WouldBlock(error) || error == asio::error::interrupted) return AwaitHeaderBytes();
+  if (error) return OnReadError(error);
+  AppendInput(bytes);
+  ParseHeader();
+}
+
+void RequestReader::OnHeader(std::size_t header_bytes) {
   const auto& header = parser_->get();
   if (const auto error = ValidateRequestHeader(header))
     return session_.OnInvalidRequest(error->status, error->text);
+  const auto fields = static_cast<std::size_t>(std::distance(header.begin(), header.end()));
   const std::size_t length = static_cast<std::size_t>(
       parser_->chunked() ? kMaxBufferedBody
                          : std::min<std::uint64_t>(kMaxBufferedBody, parser_->content_length().value_or(0)));
-  if (!session_.body_memory().Reserve(length * kBodyCopies)) {
-    return session_.OnInvalidRequest(http::status::service_unavailable,
-                                     "no memory for this now; trying again is harmless");
-  }
+  if (!header_memory_.Resize(header_bytes * kHeaderCopies + fields * kFieldOverheadBytes) ||
+      !session_.body_memory().Reserve(length * kBodyCopies))
+    return RejectForMemory();
   reserved_bytes_ = length * kBodyCopies;
   body_limit_bytes_ = kMaxBufferedBody;
   body_started_ = Steady::now();
@@ -89,6 +136,11 @@
   ReadBufferedBody();
 }
 
+void RequestReader::RejectForMemory() {
+  session_.OnInvalidRequest(http::status::service_unavailable,
+                            "no memory for this now; trying again is harmless");
+}
+
 void RequestReader::SendContinue() {
   const auto response = std::make_shared<http::response<http::empty_body>>(http::status::continue_, 11);
   http::async_write(socket_, *response,
@@ -103,13 +155,21 @@
   if (parser_->is_done() || (body_.size() >= body_limit_bytes_ && !ExtendBodyBuffer()))
     return session_.OnRequestRead(Steady::now());
   session_.ExtendDeadline(body_started_ + session_.timeouts().body_grace + TimeAtMinRate(body_.size()));
-  ReadBodyChunk(socket_, buffer_, *parser_, chunk_,
-                [this, session = session_.shared_from_this()](const Error& error, auto bytes_read) {
-                  if (!session->IsReadingRequest()) return;
-                  body_.append(chunk_.data(), bytes_read());
-                  if (error) return OnReadError(error);
-                  ReadBufferedBody();
-                });
+  const auto is_current = [session = session_.shared_from_this()] { return session->IsReadingRequest(); };
+  ReadBodyChunk(socket_, buffer_, *parser_, MaxReadBytes(), is_current,
+                [this](const Error& error, std::string_view chunk) { OnBodyChunk(error, chunk); });
+}
+
+// Bytes behind a body of known length stay unread.
+std::size_t RequestReader::MaxReadBytes() const {
+  const auto remaining = parser_->content_length_remaining().value_or(kBodyChunkSize);
+  return static_cast<std::size_t>(std::clamp<std::uint64_t>(remaining, 1, kBodyChunkSize));
+}
+
+void RequestReader::OnBodyChunk(const Error& error, std::string_view chunk) {
+  body_.append(chunk);
+  if (error) return OnReadError(error);
+  ReadBufferedBody();
 }
 
 // A medium-sized body is buffered as well while memory allows: until it is complete it uses no backend's
@@ -117,8 +177,9 @@
 bool RequestReader::ExtendBodyBuffer() {
   const auto max_bytes = static_cast<std::size_t>(session_.shares().max_buffered_body_bytes);
   if (body_limit_bytes_ >= max_bytes || parser_->content_length().value_or(0) > max_bytes) return false;
-  if (!session_.body_memory().Reserve(kMaxBufferedBody)) return false;
-  reserved_bytes_ += kMaxBufferedBody;
+  const std::size_t step_bytes = kMaxBufferedBody * kBodyCopies;
+  if (!session_.body_memory().Reserve(step_bytes)) return false;
+  reserved_bytes_ += step_bytes;
   body_limit_bytes_ += kMaxBufferedBody;
   return true;
 }
@@ -141,9 +202,7 @@
   body_streaming_ = !parser_->is_done();
   streamed_bytes_ = 0;
   streaming_time_ = {};
-  HttpRequest message(parser_->get().base(), std::exchange(body_, {}));
-  if (!body_streaming_) chunk_ = {};
-  return message;
+  return HttpRequest(std::move(parser_->get().base()), std::exchange(body_, {}));
 }
 
 void RequestReader::SetStreamedFraming(HttpRequest& message) const {
@@ -167,21 +226,22 @@
                        std::max<Steady::duration>(
                            session_.timeouts().body_grace + TimeAtMinRate(streamed_bytes_) - streaming_time_,
                            std::chrono::milliseconds(1)));
-  ReadBodyChunk(socket_, buffer_, *parser_, chunk_,
-                [this, session = session_.shared_from_this(), started](const Error& error, auto bytes_read) {
-                  if (!session->IsAwaitingResponse() || !on_chunk_) return;
+  const auto is_current = [this, session = session_.shared_from_this()] {
+    return session->IsAwaitingResponse() && on_chunk_;
+  };
+  ReadBodyChunk(socket_, buffer_, *parser_, MaxReadBytes(), is_current,
+                [this, started](const Error& error, std::string_view chunk) {
                   if (error) return OnStreamedBodyError(error);
                   const auto now = Steady::now();
-                  const std::size_t bytes = bytes_read();
                   streaming_time_ += now - started;
-                  streamed_bytes_ += bytes;
-                  session->SetDeadline(Steady::time_point::max());
+                  streamed_bytes_ += chunk.size();
+                  session_.SetDeadline(Steady::time_point::max());
                   const bool last = parser_->is_done();
                   if (last) {
                     body_streaming_ = false;
-                    session->WatchForDisconnect();
+                    session_.WatchForDisconnect();
                   }
-                  std::exchange(on_chunk_, nullptr)(true, {chunk_.data(), bytes}, last);
+                  std::exchange(on_chunk_, nullptr)(true, chunk, last);
                 });
 }
 
@@ -193,25 +253,60 @@
 }
 
 bool RequestReader::ReadAhead(Steady::time_point at, bool may_discard) {
+  const bool connected = ReadAvailable(at, may_discard);
+  input_memory_.Charge(buffer_.capacity());
+  return connected;
+}
+
+bool RequestReader::ReadAvailable(Steady::time_point at, bool may_discard) {
+  auto& scratch = ReadScratch();
   for (int reads = 0; reads < kMaxReadsPerTurn; ++reads) {
+    const std::size_t room = ReadAheadRoom();
+    if (room == 0 && !may_discard) return true;
     Error error;
-    if (buffer_.size() >= kMaxReadAheadBytes) {
-      if (!may_discard) return true;
-      char discarded[kDiscardBufferBytes];
+    const std::size_t bytes =
+        socket_.read_some(asio::buffer(scratch.data(), room > 0 ? room : scratch.size()), error);
+    if (WouldBlock(error)) return true;
+    if (error && error != asio::error::interrupted) return false;
+    if (bytes == 0) continue;
+    if (room == 0) {
       read_ahead_overflowed_ = true;
-      socket_.read_some(asio::buffer(discarded), error);
     } else {
-      const std::size_t bytes =
-          socket_.read_some(buffer_.prepare(kMaxReadAheadBytes - buffer_.size()), error);
-      if (bytes > 0) arrivals_.Add(bytes, at);
-      buffer_.commit(bytes);
+      arrivals_.Add(bytes, at);
+      AppendInput(bytes);
     }
-    if (WouldBlock(error)) return true;
-    if (error && error != asio::error::interrupted) return false;
   }
   return true;
 }
 
-void RequestReader::ReleaseMemory() { session_.body_memory().Release(std::exchange(reserved_bytes_, 0)); }
+// @return how many bytes may be kept of the next read; 0 at the limit of the connection or of memory.
+std::size_t RequestReader::ReadAheadRoom() {
+  if (read_ahead_overflowed_ || buffer_.size() >= kMaxReadAheadBytes) return 0;
+  const std::size_t room = std::min(kReadAheadStepBytes, kMaxReadAheadBytes - buffer_.size());
+  return ReserveInput(room) ? room : 0;
+}
+
+bool RequestReader::ReserveInput(std::size_t bytes) {
+  return input_memory_.Resize((buffer_.size() + bytes) * kBufferGrowth);
+}
+
+void RequestReader::AppendInput(std::size_t bytes) {
+  buffer_.commit(asio::buffer_copy(buffer_.prepare(bytes), asio::buffer(ReadScratch().data(), bytes)));
+}
+
+void RequestReader::DropRequest() {
+  CancelStreamedBody();
+  parser_.reset();
+  body_ = {};
+  buffer_.clear();
+  buffer_.shrink_to_fit();
+  ReleaseMemory();
+}
+
+void RequestReader::ReleaseMemory() {
+  session_.body_memory().Release(std::exchange(reserved_bytes_, 0));
+  header_memory_.Clear();
+  input_memory_.Charge(buffer_.capacity());
+}
 
 }  // namespace copperpoint::proxy
--- a/src/proxy/downstream/request_reader.h
+++ b/src/proxy/downstream/request_reader.h
@@ -9,15 +9,19 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <cstdint>
+#include <boost/system/error_code.hpp>
+#include <cstddef>
+#include <memory>
 #include <optional>
 #include <string>
-#include <vector>
+#include <string_view>
 
 #include "proxy/clock.h"
 #include "proxy/downstream/arrival_times.h"
 #include "proxy/http/body_stream.h"
+#include "proxy/http/header_line_counter.h"
 #include "proxy/http/messages.h"
+#include "proxy/memory_budget.h"
 
 namespace copperpoint::proxy {
 
@@ -27,7 +31,8 @@
 // still relevant. Results are reported by the session's OnRequestRead, OnInvalidRequest and Close.
 class RequestReader {
  public:
-  RequestReader(ClientSession& session, boost::asio::ip::tcp::socket& socket);
+  RequestReader(ClientSession& session, boost::asio::ip::tcp::socket& socket,
+                const std::shared_ptr<MemoryBudget>& buffer_memory);
 
   // Releases the state of the last request. @return true if bytes of the next one are already buffered;
   // otherwise the buffer's memory is freed, since the connection is idle.
@@ -55,6 +60,8 @@
   // response; otherwise reading stops at the limit.
   bool ReadAhead(Steady::time_point at, bool may_discard = true);
 
+  // Releases what is in memory of a request that is not forwarded, and of the bytes behind it.
+  void DropRequest();
   void ReleaseMemory();
 
   bool has_buffered_bytes() const { return buffer_.size() > 0; }
@@ -65,29 +72,43 @@
  private:
   using Parser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
 
-  void OnHeader();
+  void ParseHeader();
+  void AwaitHeaderBytes();
+  void ReceiveHeaderBytes();
+  void OnHeader(std::size_t header_bytes);
+  void RejectForMemory();
   void SendContinue();
   void ReadBufferedBody();
+  std::size_t MaxReadBytes() const;
+  void OnBodyChunk(const boost::system::error_code& error, std::string_view chunk);
   bool ExtendBodyBuffer();
+  // Keeps `bytes` more in buffer_. @return false if memory does not allow it.
+  bool ReserveInput(std::size_t bytes);
+  void AppendInput(std::size_t bytes);
+  bool ReadAvailable(Steady::time_point at, bool may_discard);
+  std::size_t ReadAheadRoom();
   void OnReadError(const boost::system::error_code& error);
   void OnStreamedBodyError(const boost::system::error_code& error);
   Steady::duration TimeAtMinRate(std::size_t bytes) const;
 
   ClientSession& session_;
   boost::asio::ip::tcp::socket& socket_;
-  boost::beast::flat_buffer buffer_;
+  boost::beast::flat_buffer buffer_;  // received and not parsed
+  MemoryReservation input_memory_;    // for buffer_
+  MemoryReservation header_memory_;   // for the header of the request, parsed and forwarded
   std::optional<Parser> parser_;
-  ArrivalTimes arrivals_;               // arrival times of the read-ahead bytes in buffer_
-  std::size_t request_bytes_ = 0;       // length of the header and Content-Length of the request being read
-  bool arrived_before_read_ = false;    // all request_bytes_ were buffered when reading began
-  bool read_ahead_overflowed_ = false;  // bytes received after an open request were dropped
-  std::string body_;                    // the buffered part of the body
-  std::size_t body_limit_bytes_ = 0;    // current limit of the buffered part
-  std::size_t reserved_bytes_ = 0;      // reserved in the session's memory budget
-  Steady::time_point body_started_{};   // when reading the body began
-  std::vector<char> chunk_;             // target of the read in progress
-  bool body_streaming_ = false;         // part of the body is still to come
-  BodySource::OnBodyChunk on_chunk_;    // callback of the streamed read in progress
+  ArrivalTimes arrivals_;  // arrival times of the read-ahead bytes in buffer_
+  HeaderLineCounter header_lines_;
+  std::size_t buffered_before_read_ = 0;  // size of buffer_ when reading began
+  std::size_t request_bytes_ = 0;         // length of the header and Content-Length of the request being read
+  bool arrived_before_read_ = false;      // all request_bytes_ were buffered when reading began
+  bool read_ahead_overflowed_ = false;    // bytes received after an open request were dropped
+  std::string body_;                      // the buffered part of the body
+  std::size_t body_limit_bytes_ = 0;      // current limit of the buffered part
+  std::size_t reserved_bytes_ = 0;        // reserved in the session's memory budget
+  Steady::time_point body_started_{};     // when reading the body began
+  bool body_streaming_ = false;           // part of the body is still to come
+  BodySource::OnBodyChunk on_chunk_;      // callback of the streamed read in progress
   std::size_t streamed_bytes_ = 0;
   Steady::duration streaming_time_{};  // total time spent reading the streamed body
 };
--- a/src/proxy/downstream/response_writer.cpp
+++ b/src/proxy/downstream/response_writer.cpp
@@ -23,11 +23,13 @@
   response_ = std::move(response);
   response_.keep_alive(keep_alive);
   response_.prepare_payload();
+  memory_.Charge(response_.body().capacity());
   session_.CancelReads();
   http::async_write(socket_, response_,
                     [this, session = session_.shared_from_this()](const Error& error, std::size_t) {
                       if (!session->IsWritingResponse()) return;
                       response_ = {};
+                      memory_.Clear();
                       if (error) return session->Close();
                       session->OnResponseWritten();
                     });
@@ -49,6 +51,7 @@
 void ResponseWriter::WriteChunk(std::string bytes, bool last) {
   session_.SetDeadline(Steady::now() + session_.timeouts().response_write);
   chunk_ = std::move(bytes);
+  memory_.Charge(chunk_.capacity());
   if (last) CancelStream();  // frees the backend connection for other requests
   asio::async_write(socket_, asio::buffer(chunk_),
                     [this, session = session_.shared_from_this(), last](const Error& error, std::size_t) {
@@ -56,6 +59,7 @@
                       if (error) return session->Close();
                       if (!last) return ReadNextChunk();
                       chunk_ = {};
+                      memory_.Clear();
                       session->OnResponseWritten();
                     });
 }
--- a/src/proxy/downstream/response_writer.h
+++ b/src/proxy/downstream/response_writer.h
@@ -9,9 +9,11 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "proxy/http/body_stream.h"
 #include "proxy/http/messages.h"
+#include "proxy/memory_budget.h"
 
 namespace copperpoint::proxy {
 
@@ -21,8 +23,9 @@
 // still relevant. Each response ends in one of the session's OnResponseWritten, AbortResponse and Close.
 class ResponseWriter {
  public:
-  ResponseWriter(ClientSession& session, boost::asio::ip::tcp::socket& socket)
-      : session_(session), socket_(socket) {}
+  ResponseWriter(ClientSession& session, boost::asio::ip::tcp::socket& socket,
+                 std::shared_ptr<MemoryBudget> memory)
+      : session_(session), socket_(socket), memory_(std::move(memory)) {}
 
   void Write(HttpResponse&& response, bool keep_alive);
 
@@ -47,6 +50,7 @@
   boost::asio::ip::tcp::socket& socket_;
   HttpResponse response_;                    // response being written in one piece
   std::string chunk_;                        // chunk of a stream being written
+  MemoryReservation memory_;                 // for what is being written
   std::shared_ptr<BodySource> body_stream_;  // null except while streaming
   bool chunked_ = false;
 };
--- a/src/proxy/downstream/session_manager.cpp
+++ b/src/proxy/downstream/session_manager.cpp
@@ -31,12 +31,14 @@
 }  // namespace
 
 SessionManager::SessionManager(boost::asio::io_context& io, const Config& config, std::size_t max_connections,
-                               RequestHandler& handler, std::function<void()> on_capacity)
+                               std::shared_ptr<MemoryBudget> buffer_memory, RequestHandler& handler,
+                               std::function<void()> on_capacity)
     : config_(config),
       max_connections_(max_connections),
       handler_(handler),
       on_capacity_(std::move(on_capacity)),
       body_memory_(BodyMemoryBytes(config)),
+      buffer_memory_(std::move(buffer_memory)),
       sweep_timer_(io) {}
 
 SessionManager::~SessionManager() {
--- a/src/proxy/downstream/session_manager.h
+++ b/src/proxy/downstream/session_manager.h
@@ -16,18 +16,20 @@
 #include "proxy/clock.h"
 #include "proxy/config/config.h"
 #include "proxy/downstream/client_session.h"
-#include "proxy/downstream/memory_budget.h"
 #include "proxy/downstream/request_handler.h"
+#include "proxy/memory_budget.h"
 
 namespace copperpoint::proxy {
 
-// Owns every ClientSession until it closes, and the memory budget that the sessions share.
+// Owns every ClientSession until it closes, and the memory budget of request bodies that the sessions share.
 class SessionManager {
  public:
+  // @param buffer_memory for what the sessions receive and write apart from request bodies.
   // @param on_capacity called, while capacity is awaited, when a connection has closed or become idle or the
   // limit has changed. It must not accept connections within the call.
   SessionManager(boost::asio::io_context& io, const Config& config, std::size_t max_connections,
-                 RequestHandler& handler, std::function<void()> on_capacity);
+                 std::shared_ptr<MemoryBudget> buffer_memory, RequestHandler& handler,
+                 std::function<void()> on_capacity);
   ~SessionManager();
   SessionManager(const SessionManager&) = delete;
   SessionManager& operator=(const SessionManager&) = delete;
@@ -68,6 +70,7 @@
   const Config& config() const { return config_; }
   RequestHandler& handler() { return handler_; }
   MemoryBudget& body_memory() { return body_memory_; }
+  const std::shared_ptr<MemoryBudget>& buffer_memory() const { return buffer_memory_; }
 
  private:
   void ScheduleSweep();
@@ -80,6 +83,7 @@
   RequestHandler& handler_;
   std::function<void()> on_capacity_;
   MemoryBudget body_memory_;
+  std::shared_ptr<MemoryBudget> buffer_memory_;
   boost::asio::steady_timer sweep_timer_;
   ClientSession::List sessions_;  // ordered by the time of the last state change, oldest first
   bool capacity_awaited_ = false;
--- a/src/proxy/http/body_stream.cpp
+++ b/src/proxy/http/body_stream.cpp
@@ -5,6 +5,11 @@
 
 namespace copperpoint::proxy {
 
+std::array<char, kBodyChunkSize>& ReadScratch() {
+  thread_local std::array<char, kBodyChunkSize> scratch;
+  return scratch;
+}
+
 std::string EncodeBodyChunk(std::string_view chunk, bool last, bool chunked) {
   if (!chunked) return std::string(chunk);
   std::string text;
--- a/src/proxy/http/body_stream.h
+++ b/src/proxy/http/body_stream.h
@@ -5,16 +5,19 @@
 #ifndef COPPERPOINT_PROXY_HTTP_BODY_STREAM_H_
 #define COPPERPOINT_PROXY_HTTP_BODY_STREAM_H_
 
+#include <algorithm>
+#include <array>
+#include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/system/error_code.hpp>
 #include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
-#include <vector>
 
 namespace copperpoint::proxy {
 
@@ -22,8 +25,11 @@
 inline constexpr std::size_t kMaxBufferedBody = std::size_t{64} * 1024;
 // Maximum size in bytes of a body, of requests and responses.
 inline constexpr std::size_t kMaxBody = std::size_t{33} * 1024 * 1024;
-// Maximum size in bytes of one read of a body.
+// Maximum size in bytes of one read of a body, and the size where memory is short.
 inline constexpr std::size_t kBodyChunkSize = std::size_t{32} * 1024;
+inline constexpr std::size_t kSmallBodyChunkSize = std::size_t{4} * 1024;
+// Maximum size in bytes of a chunk's header, or of the trailer.
+inline constexpr std::size_t kMaxUnparsedBytes = std::size_t{8} * 1024;
 
 // The rest of a body, read chunk by chunk.
 class BodySource {
@@ -46,21 +52,98 @@
 // @return the bytes to write to a connection for `chunk`: in the chunked transfer coding, or unchanged.
 std::string EncodeBodyChunk(std::string_view chunk, bool last, bool chunked);
 
-// Reads the next part of the body that `parser` parses into `chunk`. Calls `done(error, bytes_read)`, where
-// `bytes_read` is a function that may be called only while `parser` and `chunk` exist.
-template <typename Socket, typename Buffer, typename Parser, typename Done>
-void ReadBodyChunk(Socket& socket, Buffer& buffer, Parser& parser, std::vector<char>& chunk, Done done) {
-  namespace http = boost::beast::http;
-  chunk.resize(kBodyChunkSize);
-  parser.get().body().data = chunk.data();
-  parser.get().body().size = chunk.size();
-  parser.get().body().more = true;
-  http::async_read_some(
-      socket, buffer, parser,
-      [&parser, &chunk, done = std::move(done)](boost::system::error_code error, std::size_t) mutable {
-        if (error == http::error::need_buffer) error = {};
-        done(error, [&parser, &chunk] { return chunk.size() - parser.get().body().size; });
-      });
+// Buffers that one read uses, and that no connection holds while it waits. One for each event loop's thread.
+std::array<char, kBodyChunkSize>& ReadScratch();
+
+// One read of a body. Held by its completion handler: `IsCurrent()` decides whether the owner still wants the
+// result, and must be true only while `socket`, `buffer` and `parser` exist; `Done(error, chunk)` gets bytes
+// that are valid only during the call.
+template <typename Socket, typename Buffer, typename Parser, typename IsCurrent, typename Done>
+class BodyChunkRead {
+ public:
+  BodyChunkRead(Socket& socket, Buffer& buffer, Parser& parser, std::size_t max_bytes, IsCurrent is_current,
+                Done done)
+      : socket_(&socket),
+        buffer_(&buffer),
+        parser_(&parser),
+        max_bytes_(max_bytes),
+        is_current_(std::move(is_current)),
+        done_(std::move(done)) {}
+
+  // Never calls `Done` within this call.
+  static void Start(BodyChunkRead read) {
+    if (read.buffer_->size() == 0) return Wait(std::move(read));
+    const auto executor = read.socket_->get_executor();
+    boost::asio::post(executor, [read = std::move(read)]() mutable {
+      if (read.is_current_()) Parse(std::move(read));
+    });
+  }
+
+ private:
+  using Error = boost::system::error_code;
+
+  static void Wait(BodyChunkRead read) {
+    read.buffer_->shrink_to_fit();
+    Socket& socket = *read.socket_;
+    socket.async_wait(Socket::wait_read, [read = std::move(read)](const Error& error) mutable {
+      if (!read.is_current_()) return;
+      if (error) return read.done_(error, std::string_view());
+      Receive(std::move(read));
+    });
+  }
+
+  static void Receive(BodyChunkRead read) {
+    Error error;
+    const std::size_t unparsed = read.buffer_->size();
+    if (unparsed > kMaxUnparsedBytes) return read.done_(boost::beast::http::error::buffer_overflow, {});
+    const std::size_t room = unparsed > 0 ? std::min(read.max_bytes_, kSmallBodyChunkSize) : read.max_bytes_;
+    const std::size_t bytes = read.socket_->read_some(read.buffer_->prepare(room), error);
+    read.buffer_->commit(bytes);
+    if (error == boost::asio::error::would_block || error == boost::asio::error::try_again ||
+        error == boost::asio::error::interrupted)
+      return Wait(std::move(read));
+    if (error == boost::asio::error::eof) {
+      error = {};
+      read.parser_->put_eof(error);
+      return read.done_(error, std::string_view());
+    }
+    if (error) return read.done_(error, std::string_view());
+    Parse(std::move(read));
+  }
+
+  static void Parse(BodyChunkRead read) {
+    namespace http = boost::beast::http;
+    auto& scratch = ReadScratch();
+    const std::size_t room = std::min(read.max_bytes_, scratch.size());
+    auto& body = read.parser_->get().body();
+    body.data = scratch.data();
+    body.size = room;
+    body.more = true;
+    read.parser_->eager(true);
+    Error error;
+    read.buffer_->consume(read.parser_->put(read.buffer_->data(), error));
+    if (error == http::error::need_buffer || error == http::error::need_more) error = {};
+    const std::size_t bytes = room - body.size;
+    if (!error && bytes == 0 && !read.parser_->is_done()) return Wait(std::move(read));
+    read.buffer_->shrink_to_fit();
+    read.done_(error, std::string_view(scratch.data(), bytes));
+  }
+
+  Socket* socket_;
+  Buffer* buffer_;
+  Parser* parser_;
+  std::size_t max_bytes_;
+  IsCurrent is_current_;
+  Done done_;
+};
+
+// Reads the next part of the body that `parser` parses, at most `max_bytes`. The socket must be non-blocking.
+// BodyChunkRead describes the other parameters.
+template <typename Socket, typename Buffer, typename Parser, typename IsCurrent, typename Done>
+void ReadBodyChunk(Socket& socket, Buffer& buffer, Parser& parser, std::size_t max_bytes,
+                   IsCurrent is_current, Done done) {
+  using Read = BodyChunkRead<Socket, Buffer, Parser, IsCurrent, Done>;
+  Read::Start(Read(socket, buffer, parser, max_bytes, std::move(is_current), std::move(done)));
 }
 
 }  // namespace copperpoint::proxy
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -18,9 +18,14 @@
 constexpr Duration kShutdownAcceptGrace{600};
 constexpr std::chrono::milliseconds kProcessSyncInterval{100};
 
-BackendPool::Limits BackendLimits(const Config& config, const DescriptorBudget& budget) {
+std::size_t BufferMemoryBytes(const Config& config) {
+  return static_cast<std::size_t>(config.memory_mb * config.shares.buffer_memory * 1024 * 1024);
+}
+
+BackendPool::Limits BackendLimits(const Config& config, const DescriptorBudget& budget,
+                                  std::shared_ptr<MemoryBudget> buffer_memory) {
   return {config.connect_timeout, config.backend_idle_timeout, budget.ForSingleProcess().backends,
-          config.timeouts};
+          config.timeouts, std::move(buffer_memory)};
 }
 
 // Returns the path of a file in the state directory; empty if there is none. The path has the proxy's name,
@@ -59,7 +64,8 @@
                     balancer_.Handle(now, event, actions);
                   }),
       sync_timer_(io),
-      backends_(io, BackendLimits(config_, budget_)),
+      buffer_memory_(std::make_shared<MemoryBudget>(BufferMemoryBytes(config_))),
+      backends_(io, BackendLimits(config_, budget_, buffer_memory_)),
       endpoints_({config_.zones, config_.kinds, config_.timeouts.removed_backend_retention}, clock_,
                  backends_, dispatcher_),
       discovery_(
@@ -112,8 +118,8 @@
 }
 
 void Proxy::StartAccepting(int listener) {
-  clients_ =
-      std::make_unique<ClientListener>(io_, config_, budget_.ForSingleProcess().clients, *this, listener);
+  clients_ = std::make_unique<ClientListener>(io_, config_, budget_.ForSingleProcess().clients,
+                                              buffer_memory_, *this, listener);
   if (lifecycle_.draining()) clients_->SetDraining(true);
   handover_.AwaitSuccessor();
   if (has_endpoints_) lifecycle_.OnStarted();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -106,6 +106,7 @@
   RequestTable requests_;
   EventDispatcher dispatcher_;
   boost::asio::steady_timer sync_timer_;
+  std::shared_ptr<MemoryBudget> buffer_memory_;  // of client and backend connections together
   BackendPool backends_;
   EndpointTable endpoints_;
   std::unique_ptr<ClientListener> clients_;  // null until this process accepts clients
--- a/src/proxy/upstream/backend_connection.cpp
+++ b/src/proxy/upstream/backend_connection.cpp
@@ -55,7 +55,7 @@
       socket_(pool.io()),
       timer_(pool.io()),
       writer_(*this, socket_),
-      reader_(*this, socket_) {}
+      reader_(*this, socket_, pool.buffer_memory()) {}
 
 void BackendConnection::EnterState(ConnectionState state) {
   assert(IsValidTransition(state_, state));
--- a/src/proxy/upstream/backend_pool.cpp
+++ b/src/proxy/upstream/backend_pool.cpp
@@ -21,7 +21,7 @@
 
 }  // namespace
 
-BackendPool::BackendPool(asio::io_context& io, Limits limits) : io_(io), limits_(limits) {}
+BackendPool::BackendPool(asio::io_context& io, Limits limits) : io_(io), limits_(std::move(limits)) {}
 
 BackendPool::~BackendPool() {
   const auto connections = std::move(connections_);
--- a/src/proxy/upstream/backend_pool.h
+++ b/src/proxy/upstream/backend_pool.h
@@ -16,6 +16,7 @@
 
 #include "copperpoint/balancer.h"
 #include "proxy/config/config.h"
+#include "proxy/memory_budget.h"
 #include "proxy/upstream/attempt.h"
 
 namespace copperpoint::proxy {
@@ -30,6 +31,8 @@
     Duration backend_idle_timeout{15000};  // after which a backend closes an idle connection
     std::size_t max_connections = 300;     // to all backends together
     Timeouts timeouts{};
+    // Shared with the clients' connections: responses that are being received, and their chunks in transit.
+    std::shared_ptr<MemoryBudget> buffer_memory = std::make_shared<MemoryBudget>(MemoryBudget::kUnlimited);
   };
 
   BackendPool(boost::asio::io_context& io, Limits limits);
@@ -74,6 +77,7 @@
   boost::asio::io_context& io() { return io_; }
   const Timeouts& timeouts() const { return limits_.timeouts; }
   Steady::time_point answer_by() const { return answer_by_; }
+  const std::shared_ptr<MemoryBudget>& buffer_memory() const { return limits_.buffer_memory; }
   // Keeps the connection for reuse, or closes it if its backend is drained.
   void ReturnToIdle(const std::shared_ptr<BackendConnection>& connection);
   void OnConnectionClosed(const BackendConnection& connection);
--- a/src/proxy/upstream/response_reader.cpp
+++ b/src/proxy/upstream/response_reader.cpp
@@ -2,7 +2,7 @@
 #include "proxy/upstream/response_reader.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <cstddef>
 #include <utility>
@@ -24,11 +24,16 @@
 
 }  // namespace
 
-ResponseReader::ResponseReader(BackendConnection& connection, asio::ip::tcp::socket& socket)
-    : connection_(connection), socket_(socket), buffer_(kMaxBufferedBody + kMaxHeaderBytes) {}
+ResponseReader::ResponseReader(BackendConnection& connection, asio::ip::tcp::socket& socket,
+                               std::shared_ptr<MemoryBudget> memory)
+    : connection_(connection),
+      socket_(socket),
+      buffer_(kMaxBufferedBody + kMaxHeaderBytes),
+      memory_(std::move(memory)) {}
 
 void ResponseReader::Reset() {
   body_.clear();
+  memory_.Clear();
   informational_responses_ = 0;
   body_bytes_ = 0;
   buffers_unknown_length_ = stops_buffering_ = false;
@@ -109,18 +114,25 @@
     const bool is_ok = parser_->get().result() == http::status::ok;
     return is_ok ? StartStream() : connection_.FailResponse();
   }
-  ReadBodyChunk(socket_, buffer_, *parser_, chunk_,
-                [this, connection = connection_.shared_from_this(), id = connection_.attempt_id()](
-                    const Error& error, auto bytes_read) {
-                  if (connection->IsCurrent(id)) OnBodyChunk(error, bytes_read());
-                });
+  const auto is_current = [connection = connection_.shared_from_this(), id = connection_.attempt_id()] {
+    return connection->IsCurrent(id);
+  };
+  ReadBodyChunk(socket_, buffer_, *parser_, kBodyChunkSize, is_current,
+                [this](const Error& error, std::string_view chunk) { OnBodyChunk(error, chunk); });
 }
 
-void ResponseReader::OnBodyChunk(const Error& error, std::size_t bytes) {
+void ResponseReader::OnBodyChunk(const Error& error, std::string_view chunk) {
   const bool interrupted = stops_buffering_ && error == asio::error::operation_aborted;
   if (error && !interrupted) return connection_.FailResponse();
-  body_.append(chunk_.data(), bytes);
-  body_bytes_ += bytes;
+  body_bytes_ += chunk.size();
+  // Of an error only the header matters.
+  if (parser_->get().result() == http::status::ok) {
+    body_.append(chunk);
+    // Where memory is short, a response is streamed that could have been buffered.
+    if (!memory_.Resize(body_.capacity())) stops_buffering_ = true;
+  } else if (body_bytes_ > kMaxBufferedBody) {
+    return connection_.FailResponse();
+  }
   connection_.RestartResponseTimer(connection_.timeouts().response_stall);
   ReadBody();
 }
@@ -148,18 +160,28 @@
     return;
   }
   connection_.RestartStreamTimer(may_be_small());
-  ReadBodyChunk(socket_, buffer_, *parser_, chunk_,
-                [this, connection = connection_.shared_from_this()](const Error& error, auto bytes_read) {
-                  if (!connection->streaming() || !on_chunk_) return;
+  const auto is_current = [this, connection = connection_.shared_from_this()] {
+    return connection->streaming() && on_chunk_;
+  };
+  ReadBodyChunk(socket_, buffer_, *parser_, ReserveChunk(), is_current,
+                [this](const Error& error, std::string_view chunk) {
+                  const auto connection = connection_.shared_from_this();
                   if (error) return connection->Close();
                   // The time in which the client receives the chunk does not count against the backend.
                   connection->SetTimer(Steady::time_point::max());
-                  const std::size_t bytes = bytes_read();
-                  body_bytes_ += bytes;
-                  CancelStreamedBody()(true, {chunk_.data(), bytes}, parser_->is_done());
+                  body_bytes_ += chunk.size();
+                  CancelStreamedBody()(true, chunk, parser_->is_done());
                 });
 }
 
+// The chunk is in memory until the client has taken it, in the coding of the client's response.
+std::size_t ResponseReader::ReserveChunk() {
+  memory_.Clear();
+  if (memory_.Resize(kBodyChunkSize)) return kBodyChunkSize;
+  memory_.Charge(kSmallBodyChunkSize);
+  return kSmallBodyChunkSize;
+}
+
 BodySource::OnBodyChunk ResponseReader::CancelStreamedBody() { return std::exchange(on_chunk_, nullptr); }
 
 bool ResponseReader::allows_reuse() const {
@@ -169,7 +191,7 @@
 void ResponseReader::Clear() {
   parser_.reset();
   body_ = {};
-  chunk_ = {};
+  memory_.Clear();
   buffer_.clear();
   buffer_.shrink_to_fit();
 }
--- a/src/proxy/upstream/response_reader.h
+++ b/src/proxy/upstream/response_reader.h
@@ -10,12 +10,14 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/system/error_code.hpp>
 #include <cstddef>
+#include <memory>
 #include <optional>
 #include <string>
-#include <vector>
+#include <string_view>
 
 #include "proxy/http/body_stream.h"
 #include "proxy/http/messages.h"
+#include "proxy/memory_budget.h"
 
 namespace copperpoint::proxy {
 
@@ -25,7 +27,8 @@
 // OnResponse, OnStreamedResponse and FailResponse.
 class ResponseReader {
  public:
-  ResponseReader(BackendConnection& connection, boost::asio::ip::tcp::socket& socket);
+  ResponseReader(BackendConnection& connection, boost::asio::ip::tcp::socket& socket,
+                 std::shared_ptr<MemoryBudget> memory);
 
   // Prepares for a new response; must be called before the request is written.
   void Reset();
@@ -61,7 +64,8 @@
   void OnHeader();
   bool IsFramingAcceptable() const;
   void ReadBody();
-  void OnBodyChunk(const boost::system::error_code& error, std::size_t bytes);
+  void OnBodyChunk(const boost::system::error_code& error, std::string_view chunk);
+  std::size_t ReserveChunk();
   void StartStream();
 
   BackendConnection& connection_;
@@ -69,7 +73,7 @@
   boost::beast::flat_buffer buffer_;
   std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> parser_;
   std::string body_;                  // the buffered part of the body
-  std::vector<char> chunk_;           // target of the read in progress
+  MemoryReservation memory_;          // for body_, or for a streamed chunk until the next one is read
   BodySource::OnBodyChunk on_chunk_;  // callback of the streamed read in progress
   int informational_responses_ = 0;   // 1xx responses received before the final one
   std::size_t body_bytes_ = 0;        // of the body, received so far
--- a/tests/proxy/downstream_test.cpp
+++ b/tests/proxy/downstream_test.cpp
@@ -8,8 +8,8 @@
 #include <utility>
 
 #include "proxy/downstream/arrival_times.h"
-#include "proxy/downstream/memory_budget.h"
 #include "proxy/downstream/session_state.h"
+#include "proxy/memory_budget.h"
 
 namespace copperpoint::testing {
 namespace {
--- a/tests/proxy/slow_response_test.cpp
+++ b/tests/proxy/slow_response_test.cpp
@@ -210,6 +210,7 @@
   client.Send(PostRequest("book", "Req-Deadline-Ms: 300\r\n"));
   EXPECT_EQ(client.Read().result_int(), 0u) << "the client can tell that the response is not complete";
   EXPECT_GE(Steady::now() - sent_at, milliseconds(300)) << "it may still arrive before the deadline";
+  EXPECT_LT(Steady::now() - sent_at, kWaitTimeout);
   EXPECT_TRUE(backend.WaitForClosed(1));
 }
 
--- a/tests/support/running_proxy.h
+++ b/tests/support/running_proxy.h
@@ -114,12 +114,14 @@
   void Start() {
     proxy::Config all = ParseConfigJson(config);
     all.timeouts = timeouts;
+    all.shares = shares;
     proxy = std::make_unique<RunningProxy>(std::move(all));
   }
 
   FakeDiscovery discovery;
   nlohmann::json config;
   proxy::Timeouts timeouts;
+  proxy::ResourceShares shares;
   std::unique_ptr<RunningProxy> proxy;
 };
 
