Read large request bodies ahead, and begin no attempt for a client that has left

Customers were charged for bookings whose client had gone: while a request with a body over 1 MiB was queued, connecting or between attempts, nothing read from its connection, so that the client's close behind the body was not seen, and the whole body was forwarded from the kernel's buffer later.

Change: StreamedBody reads from the request's start on, within three quarters of the memory for bodies. Before its first byte an attempt confirms the client, by reading all that has arrived. Where memory does not allow that and the client was last seen more than 0.1 s ago, the request gets 503. Given up: large requests of clients that are still there are rejected in that case; tests show that they are served otherwise, and that an attempt which begins at once is not concerned.

RequestReader lost the streaming to a class of its own.

--- a/src/proxy/downstream/client_session.cpp
+++ b/src/proxy/downstream/client_session.cpp
@@ -44,6 +44,7 @@
   socket_.set_option(Tcp::no_delay(true), ignored);
   socket_.non_blocking(true, ignored);
   EnterState(SessionState::kIdle, timeouts().request_head);
+  queued_since_ = queued_since;
   if (queued_since && !reader_.ReadAhead(*queued_since, /*may_discard=*/false)) return Close();
   AwaitRequest(timeouts().request_head);
 }
@@ -67,7 +68,10 @@
 }
 
 void ClientSession::OnDeadlineCheck(Steady::time_point now) {
-  if (now < deadline_) return;
+  if (now < deadline_) {
+    if (IsReadingStreamedBody()) reader_.streamed_body()->ReadAhead();  // memory may have become free
+    return;
+  }
   switch (state_) {
     case SessionState::kIdle:
       return CloseLingering();
@@ -103,7 +107,8 @@
 void ClientSession::OnRequestRead(Steady::time_point at) {
   has_sent_request_ = true;
   at = std::min(at, reader_.ArrivalTime(at));
-  HttpRequest message = reader_.TakeRequest();
+  HttpRequest message =
+      reader_.TakeRequest(std::exchange(queued_since_, std::nullopt).value_or(state_since_));
   close_after_response_ = !message.keep_alive();
   http_1_0_ = message.version() < 11;
   if (message.method() == http::verb::get && message.target() == "/ready") return SendReadiness();
@@ -131,8 +136,11 @@
   EnterState(SessionState::kAwaitingResponse, std::nullopt);
   // No attempt is started for a client that disconnected while its request waited to be read.
   if (!reader_.body_streaming() && !reader_.ReadAhead(Steady::now())) return Close();
+  is_forwarding_ = true;
   request_ = manager_->handler().OnRequest(std::move(request), shared_from_this());
-  if (IsAwaitingResponse() && !reader_.body_streaming()) WatchForDisconnect();
+  is_forwarding_ = false;
+  if (!IsAwaitingResponse()) return;
+  reader_.body_streaming() ? reader_.streamed_body()->ReadAhead() : WatchForDisconnect();
 }
 
 void ClientSession::WatchForDisconnect() {
@@ -173,11 +181,22 @@
 
 void ClientSession::Read(OnBodyChunk on_chunk) {
   asio::post(socket_.get_executor(), [self = shared_from_this(), on_chunk = std::move(on_chunk)]() mutable {
-    if (!self->IsAwaitingResponse() || !self->reader_.body_streaming()) return on_chunk(false, {}, true);
-    self->reader_.ReadStreamedBody(std::move(on_chunk));
+    const auto body = self->reader_.streamed_body();
+    if (!self->IsAwaitingResponse() || !body) return on_chunk(false, {}, true);
+    body->Read(std::move(on_chunk));
   });
 }
 
+// An attempt that begins for a client which has disconnected would run for nobody.
+bool ClientSession::ConfirmSender() {
+  const auto body = reader_.streamed_body();
+  return IsAwaitingResponse() && body && body->ConfirmClient();
+}
+
+void ClientSession::OnStreamedBodyRead() {
+  if (!is_forwarding_) WatchForDisconnect();
+}
+
 void ClientSession::SendResponse(HttpResponse response, std::shared_ptr<BodySource> body_stream,
                                  std::optional<std::uint64_t> body_length) {
   if (!IsAwaitingResponse()) return;
@@ -295,7 +314,7 @@
   Close();
 }
 
-MemoryBudget& ClientSession::body_memory() { return manager_->body_memory(); }
+const std::shared_ptr<MemoryBudget>& ClientSession::body_memory() const { return manager_->body_memory(); }
 const Timeouts& ClientSession::timeouts() const { return manager_->config().timeouts; }
 const ResourceShares& ClientSession::shares() const { return manager_->config().shares; }
 
--- a/src/proxy/downstream/client_session.h
+++ b/src/proxy/downstream/client_session.h
@@ -87,10 +87,15 @@
 
   // BodySource, for the rest of a streamed request body.
   void Read(OnBodyChunk on_chunk) override;
+  bool ConfirmSender() override;
 
-  // Callbacks of RequestReader.
+  // Callbacks of RequestReader and StreamedBody.
   void OnRequestRead(Steady::time_point at);
   void OnInvalidRequest(boost::beast::http::status status, std::string text);
+  // The last byte of the streamed body has been read.
+  void OnStreamedBodyRead();
+  // @return false if the client has closed behind a request that is read.
+  bool IsClientConnected() { return reader_.ReadAhead(Steady::now()); }
   // The streamed body ended early. With a status, an error response with `text` is sent; otherwise closes.
   void FailStreamedBody(std::optional<boost::beast::http::status> status, const char* text);
   // Detects that the client closes before its response, even if unread bytes precede the close.
@@ -105,7 +110,7 @@
   void CancelReads();
   void SetDeadline(Steady::time_point at) { deadline_ = at; }
   void ExtendDeadline(Steady::time_point at) { deadline_ = std::max(deadline_, at); }
-  MemoryBudget& body_memory();
+  const std::shared_ptr<MemoryBudget>& body_memory() const;
   const Timeouts& timeouts() const;
   const ResourceShares& shares() const;
 
@@ -127,9 +132,11 @@
   ResponseWriter writer_;
   SessionState state_ = SessionState::kIdle;
   Steady::time_point state_since_{}, deadline_{};
-  RequestId request_ = 0;          // the request forwarded last
-  bool http_1_0_ = false;          // version of the current request
-  bool has_sent_request_ = false;  // at least one request was read
+  RequestId request_ = 0;                           // the request forwarded last
+  std::optional<Steady::time_point> queued_since_;  // of a connection whose first request has not been read
+  bool is_forwarding_ = false;                      // within the call that forwards a request
+  bool http_1_0_ = false;                           // version of the current request
+  bool has_sent_request_ = false;                   // at least one request was read
   bool close_after_response_ = false;
   std::size_t discarded_bytes_ = 0;  // by the lingering close
 };
--- a/src/proxy/downstream/request_reader.cpp
+++ b/src/proxy/downstream/request_reader.cpp
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "proxy/downstream/client_session.h"
+#include "proxy/downstream/read_error.h"
 #include "proxy/http/framing.h"
 
 namespace copperpoint::proxy {
@@ -45,12 +46,6 @@
   return error == asio::error::would_block || error == asio::error::try_again;
 }
 
-// @return true if the client sent invalid data, false if the connection failed.
-bool IsParseError(const Error& error) {
-  return error.category() == http::make_error_code(http::error::bad_version).category() &&
-         error != http::error::end_of_stream && error != http::error::partial_message;
-}
-
 }  // namespace
 
 RequestReader::RequestReader(ClientSession& session, asio::ip::tcp::socket& socket,
@@ -62,6 +57,7 @@
       header_memory_(buffer_memory) {}
 
 bool RequestReader::PrepareForNextRequest() {
+  streamed_body_.reset();
   parser_.reset();
   buffer_.shrink_to_fit();
   ReleaseMemory();
@@ -127,7 +123,7 @@
       parser_->chunked() ? kMaxBufferedBody
                          : std::min<std::uint64_t>(kMaxBufferedBody, parser_->content_length().value_or(0)));
   if (!header_memory_.Resize(header_bytes * kHeaderCopies + fields * kFieldOverheadBytes) ||
-      !session_.body_memory().Reserve(length * kBodyCopies))
+      !session_.body_memory()->Reserve(length * kBodyCopies))
     return RejectForMemory();
   reserved_bytes_ = length * kBodyCopies;
   body_limit_bytes_ = kMaxBufferedBody;
@@ -178,7 +174,7 @@
   const auto max_bytes = static_cast<std::size_t>(session_.shares().max_buffered_body_bytes);
   if (body_limit_bytes_ >= max_bytes || parser_->content_length().value_or(0) > max_bytes) return false;
   const std::size_t step_bytes = kMaxBufferedBody * kBodyCopies;
-  if (!session_.body_memory().Reserve(step_bytes)) return false;
+  if (!session_.body_memory()->Reserve(step_bytes)) return false;
   reserved_bytes_ += step_bytes;
   body_limit_bytes_ += kMaxBufferedBody;
   return true;
@@ -198,10 +194,10 @@
   session_.OnInvalidRequest(http::status::bad_request, "malformed");
 }
 
-HttpRequest RequestReader::TakeRequest() {
-  body_streaming_ = !parser_->is_done();
-  streamed_bytes_ = 0;
-  streaming_time_ = {};
+HttpRequest RequestReader::TakeRequest(Steady::time_point connected_at) {
+  if (!parser_->is_done()) {
+    streamed_body_ = std::make_shared<StreamedBody>(session_, socket_, buffer_, *parser_, connected_at);
+  }
   return HttpRequest(std::move(parser_->get().base()), std::exchange(body_, {}));
 }
 
@@ -217,41 +213,6 @@
   return now;
 }
 
-// The chunks of a streamed body together may take the time at the minimum rate plus a grace period. Time in
-// which the backend side requests no chunk (backpressure) does not count against the client.
-void RequestReader::ReadStreamedBody(BodySource::OnBodyChunk on_chunk) {
-  on_chunk_ = std::move(on_chunk);
-  const auto started = Steady::now();
-  session_.SetDeadline(started +
-                       std::max<Steady::duration>(
-                           session_.timeouts().body_grace + TimeAtMinRate(streamed_bytes_) - streaming_time_,
-                           std::chrono::milliseconds(1)));
-  const auto is_current = [this, session = session_.shared_from_this()] {
-    return session->IsAwaitingResponse() && on_chunk_;
-  };
-  ReadBodyChunk(socket_, buffer_, *parser_, MaxReadBytes(), is_current,
-                [this, started](const Error& error, std::string_view chunk) {
-                  if (error) return OnStreamedBodyError(error);
-                  const auto now = Steady::now();
-                  streaming_time_ += now - started;
-                  streamed_bytes_ += chunk.size();
-                  session_.SetDeadline(Steady::time_point::max());
-                  const bool last = parser_->is_done();
-                  if (last) {
-                    body_streaming_ = false;
-                    session_.WatchForDisconnect();
-                  }
-                  std::exchange(on_chunk_, nullptr)(true, chunk, last);
-                });
-}
-
-BodySource::OnBodyChunk RequestReader::CancelStreamedBody() { return std::exchange(on_chunk_, nullptr); }
-
-void RequestReader::OnStreamedBodyError(const Error& error) {
-  if (IsParseError(error)) return session_.FailStreamedBody(http::status::bad_request, "malformed");
-  session_.FailStreamedBody(std::nullopt, "");
-}
-
 bool RequestReader::ReadAhead(Steady::time_point at, bool may_discard) {
   const bool connected = ReadAvailable(at, may_discard);
   input_memory_.Charge(buffer_.capacity());
@@ -295,7 +256,7 @@
 }
 
 void RequestReader::DropRequest() {
-  CancelStreamedBody();
+  streamed_body_.reset();
   parser_.reset();
   body_ = {};
   buffer_.clear();
@@ -304,7 +265,7 @@
 }
 
 void RequestReader::ReleaseMemory() {
-  session_.body_memory().Release(std::exchange(reserved_bytes_, 0));
+  session_.body_memory()->Release(std::exchange(reserved_bytes_, 0));
   header_memory_.Clear();
   input_memory_.Charge(buffer_.capacity());
 }
--- a/src/proxy/downstream/request_reader.h
+++ b/src/proxy/downstream/request_reader.h
@@ -18,6 +18,7 @@
 
 #include "proxy/clock.h"
 #include "proxy/downstream/arrival_times.h"
+#include "proxy/downstream/streamed_body.h"
 #include "proxy/http/body_stream.h"
 #include "proxy/http/header_line_counter.h"
 #include "proxy/http/messages.h"
@@ -41,18 +42,18 @@
   // Reads a request until it can be forwarded, and then calls one of the session's callbacks.
   void ReadRequest();
 
-  // @return the request that has been read. The rest of an incomplete body is read by ReadStreamedBody, and
+  // @param connected_at the latest time at which the client is known to have been connected.
+  // @return the request that has been read. The rest of an incomplete body is read by streamed_body(), and
   // SetStreamedFraming then sets the Content-Length or chunked framing of the forwarded request.
-  HttpRequest TakeRequest();
+  HttpRequest TakeRequest(Steady::time_point connected_at);
   void SetStreamedFraming(HttpRequest& message) const;
 
   // @return when the last byte of the request that has been read arrived; `now` if it did not arrive earlier.
   Steady::time_point ArrivalTime(Steady::time_point now);
 
-  // Reads the next chunk of a streamed body. `on_chunk` is called once, unless CancelStreamedBody is called
-  // first, which returns it.
-  void ReadStreamedBody(BodySource::OnBodyChunk on_chunk);
-  BodySource::OnBodyChunk CancelStreamedBody();
+  // The rest of a body that is forwarded before it is read; null if there is none.
+  StreamedBody* streamed_body() { return streamed_body_.get(); }
+  BodySource::OnBodyChunk CancelStreamedBody() { return streamed_body_ ? streamed_body_->Cancel() : nullptr; }
 
   // Reads, without waiting, the bytes that the client has sent, and records `at` as their arrival time. A
   // disconnect can be detected only after these bytes. @return false if the client has disconnected. With
@@ -66,11 +67,12 @@
 
   bool has_buffered_bytes() const { return buffer_.size() > 0; }
   bool header_complete() const { return parser_->is_header_done(); }
-  bool body_streaming() const { return body_streaming_; }
+  // @return whether a part of the body is still to be read from the client.
+  bool body_streaming() const { return streamed_body_ && !streamed_body_->complete(); }
   bool read_ahead_overflowed() const { return read_ahead_overflowed_; }
 
  private:
-  using Parser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
+  using Parser = StreamedBody::Parser;
 
   void ParseHeader();
   void AwaitHeaderBytes();
@@ -88,7 +90,6 @@
   bool ReadAvailable(Steady::time_point at, bool may_discard);
   std::size_t ReadAheadRoom();
   void OnReadError(const boost::system::error_code& error);
-  void OnStreamedBodyError(const boost::system::error_code& error);
   Steady::duration TimeAtMinRate(std::size_t bytes) const;
 
   ClientSession& session_;
@@ -107,10 +108,7 @@
   std::size_t body_limit_bytes_ = 0;      // current limit of the buffered part
   std::size_t reserved_bytes_ = 0;        // reserved in the session's memory budget
   Steady::time_point body_started_{};     // when reading the body began
-  bool body_streaming_ = false;           // part of the body is still to come
-  BodySource::OnBodyChunk on_chunk_;      // callback of the streamed read in progress
-  std::size_t streamed_bytes_ = 0;
-  Steady::duration streaming_time_{};  // total time spent reading the streamed body
+  std::shared_ptr<StreamedBody> streamed_body_;
 };
 
 }  // namespace copperpoint::proxy
--- a/src/proxy/downstream/session_manager.cpp
+++ b/src/proxy/downstream/session_manager.cpp
@@ -37,7 +37,7 @@
       max_connections_(max_connections),
       handler_(handler),
       on_capacity_(std::move(on_capacity)),
-      body_memory_(BodyMemoryBytes(config)),
+      body_memory_(std::make_shared<MemoryBudget>(BodyMemoryBytes(config))),
       buffer_memory_(std::move(buffer_memory)),
       sweep_timer_(io) {}
 
--- a/src/proxy/downstream/session_manager.h
+++ b/src/proxy/downstream/session_manager.h
@@ -69,7 +69,7 @@
   void NotifyCapacity();
   const Config& config() const { return config_; }
   RequestHandler& handler() { return handler_; }
-  MemoryBudget& body_memory() { return body_memory_; }
+  const std::shared_ptr<MemoryBudget>& body_memory() const { return body_memory_; }
   const std::shared_ptr<MemoryBudget>& buffer_memory() const { return buffer_memory_; }
 
  private:
@@ -82,7 +82,7 @@
   std::size_t max_connections_;
   RequestHandler& handler_;
   std::function<void()> on_capacity_;
-  MemoryBudget body_memory_;
+  std::shared_ptr<MemoryBudget> body_memory_;
   std::shared_ptr<MemoryBudget> buffer_memory_;
   boost::asio::steady_timer sweep_timer_;
   ClientSession::List sessions_;  // ordered by the time of the last state change, oldest first
--- a/src/proxy/http/body_stream.h
+++ b/src/proxy/http/body_stream.h
@@ -41,6 +41,10 @@
   // Reads the next chunk; must not be called before the last one was delivered. `on_chunk` is called once,
   // never within this call, and not at all if the source is released first.
   virtual void Read(OnBodyChunk on_chunk) = 0;
+  // Reads what has arrived, as far as memory allows. @return false if the sender has disconnected, or may
+  // have done so behind bytes that can't be read now; the source reports a disconnect to its owner from the
+  // event loop.
+  virtual bool ConfirmSender() { return true; }
 };
 
 // The rest of a request's body on its way to a backend.
@@ -55,7 +59,48 @@
 // Buffers that one read uses, and that no connection holds while it waits. One for each event loop's thread.
 std::array<char, kBodyChunkSize>& ReadScratch();
 
-// One read of a body. Held by its completion handler: `IsCurrent()` decides whether the owner still wants the
+// A part of a body. Without an error, `chunk` is empty if `blocked`, or if the body has ended.
+struct BodyChunk {
+  boost::system::error_code error;
+  std::string_view chunk;  // valid until the next read on this thread
+  bool blocked = false;    // all that has arrived is read
+};
+
+// Reads the next part of the body that `parser` parses, at most `max_bytes`, without waiting. The socket must
+// be non-blocking.
+template <typename Socket, typename Buffer, typename Parser>
+BodyChunk TryReadBodyChunk(Socket& socket, Buffer& buffer, Parser& parser, std::size_t max_bytes) {
+  namespace http = boost::beast::http;
+  namespace error = boost::asio::error;
+  auto& scratch = ReadScratch();
+  const std::size_t max_chunk = std::min(max_bytes, scratch.size());
+  parser.eager(true);
+  for (;;) {
+    boost::system::error_code failed;
+    if (buffer.size() > 0) {
+      auto& body = parser.get().body();
+      body.data = scratch.data();
+      body.size = max_chunk;
+      body.more = true;
+      buffer.consume(parser.put(buffer.data(), failed));
+      if (failed == http::error::need_buffer || failed == http::error::need_more) failed = {};
+      const std::size_t bytes = max_chunk - body.size;
+      if (failed || bytes > 0 || parser.is_done()) return {failed, {scratch.data(), bytes}};
+      if (buffer.size() > kMaxUnparsedBytes) return {http::error::buffer_overflow, {}};
+    }
+    const std::size_t room = buffer.size() > 0 ? std::min(max_bytes, kSmallBodyChunkSize) : max_bytes;
+    buffer.commit(socket.read_some(buffer.prepare(room), failed));
+    if (failed == error::would_block || failed == error::try_again) return {{}, {}, /*blocked=*/true};
+    if (failed == error::eof) {
+      failed = {};
+      parser.put_eof(failed);
+      return {failed, {}};
+    }
+    if (failed && failed != error::interrupted) return {failed, {}};
+  }
+}
+
+// One read of a body, held by its completion handler: `IsCurrent()` decides whether the owner still wants the
 // result, and must be true only while `socket`, `buffer` and `parser` exist; `Done(error, chunk)` gets bytes
 // that are valid only during the call.
 template <typename Socket, typename Buffer, typename Parser, typename IsCurrent, typename Done>
@@ -75,58 +120,27 @@
     if (read.buffer_->size() == 0) return Wait(std::move(read));
     const auto executor = read.socket_->get_executor();
     boost::asio::post(executor, [read = std::move(read)]() mutable {
-      if (read.is_current_()) Parse(std::move(read));
+      if (read.is_current_()) Read(std::move(read));
     });
   }
 
  private:
-  using Error = boost::system::error_code;
-
   static void Wait(BodyChunkRead read) {
     read.buffer_->shrink_to_fit();
     Socket& socket = *read.socket_;
-    socket.async_wait(Socket::wait_read, [read = std::move(read)](const Error& error) mutable {
-      if (!read.is_current_()) return;
-      if (error) return read.done_(error, std::string_view());
-      Receive(std::move(read));
-    });
-  }
-
-  static void Receive(BodyChunkRead read) {
-    Error error;
-    const std::size_t unparsed = read.buffer_->size();
-    if (unparsed > kMaxUnparsedBytes) return read.done_(boost::beast::http::error::buffer_overflow, {});
-    const std::size_t room = unparsed > 0 ? std::min(read.max_bytes_, kSmallBodyChunkSize) : read.max_bytes_;
-    const std::size_t bytes = read.socket_->read_some(read.buffer_->prepare(room), error);
-    read.buffer_->commit(bytes);
-    if (error == boost::asio::error::would_block || error == boost::asio::error::try_again ||
-        error == boost::asio::error::interrupted)
-      return Wait(std::move(read));
-    if (error == boost::asio::error::eof) {
-      error = {};
-      read.parser_->put_eof(error);
-      return read.done_(error, std::string_view());
-    }
-    if (error) return read.done_(error, std::string_view());
-    Parse(std::move(read));
+    socket.async_wait(Socket::wait_read,
+                      [read = std::move(read)](const boost::system::error_code& error) mutable {
+                        if (!read.is_current_()) return;
+                        if (error) return read.done_(error, std::string_view());
+                        Read(std::move(read));
+                      });
   }
 
-  static void Parse(BodyChunkRead read) {
-    namespace http = boost::beast::http;
-    auto& scratch = ReadScratch();
-    const std::size_t room = std::min(read.max_bytes_, scratch.size());
-    auto& body = read.parser_->get().body();
-    body.data = scratch.data();
-    body.size = room;
-    body.more = true;
-    read.parser_->eager(true);
-    Error error;
-    read.buffer_->consume(read.parser_->put(read.buffer_->data(), error));
-    if (error == http::error::need_buffer || error == http::error::need_more) error = {};
-    const std::size_t bytes = room - body.size;
-    if (!error && bytes == 0 && !read.parser_->is_done()) return Wait(std::move(read));
+  static void Read(BodyChunkRead read) {
+    const BodyChunk result = TryReadBodyChunk(*read.socket_, *read.buffer_, *read.parser_, read.max_bytes_);
+    if (result.blocked) return Wait(std::move(read));
     read.buffer_->shrink_to_fit();
-    read.done_(error, std::string_view(scratch.data(), bytes));
+    read.done_(result.error, result.chunk);
   }
 
   Socket* socket_;
--- a/src/proxy/memory_budget.h
+++ b/src/proxy/memory_budget.h
@@ -23,6 +23,11 @@
     reserved_bytes_ += bytes;
     return true;
   }
+  // Reserves `bytes` if the total does not exceed `fraction` of the limit.
+  bool ReserveUpTo(std::size_t bytes, double fraction) {
+    const double total = static_cast<double>(reserved_bytes_) + static_cast<double>(bytes);
+    return total <= static_cast<double>(max_bytes_) * fraction && Reserve(bytes);
+  }
   // Counts `bytes` that are in use already, even if the total exceeds the limit.
   void Charge(std::size_t bytes) { reserved_bytes_ += bytes; }
   // Releases `bytes` that were reserved or charged before.
--- a/src/proxy/upstream/request_writer.cpp
+++ b/src/proxy/upstream/request_writer.cpp
@@ -48,6 +48,8 @@
   const auto time_left = attempt.deadline - Steady::now();
   if (time_left <= Steady::duration(0)) return connection_.FailSoon(AttemptOutcome::kNotSent);
   if (attempt.upload) {
+    if (!attempt.upload->source->ConfirmSender())
+      return connection_.FailSoon(AttemptOutcome::kNotSent, /*local_failure=*/true);
     const HttpRequest& request = *attempt.request;
     return WriteChunk(Header(attempt.timeout) + EncodeBodyChunk(request.body(), false, request.chunked()),
                       false);
--- a/tests/proxy/attempts_test.cpp
+++ b/tests/proxy/attempts_test.cpp
@@ -144,6 +144,24 @@
   }
 }
 
+// The client of a large request has left by the time the connection is established: nothing may be written.
+TEST_F(Attempts, WritesNothingOfALargeRequestWhoseSenderIsNotConfirmed) {
+  struct SourceWithoutSender : proxy::BodySource {
+    void Read(OnBodyChunk) override { ADD_FAILURE() << "nothing may be read"; }
+    bool ConfirmSender() override { return false; }
+  };
+  const auto upload = std::make_shared<proxy::RequestBodyStream>(
+      proxy::RequestBodyStream{std::make_shared<SourceWithoutSender>()});
+  result_.reset();
+  backends_->SendRequest(
+      kBackend, Request(), {.timeout = milliseconds(60000)},
+      [this](proxy::AttemptResult result) { result_ = std::move(result); }, upload);
+  Tcp::socket peer = Accept();
+  ASSERT_TRUE(RunUntilCompleted());
+  EXPECT_EQ(result_->outcome, AttemptOutcome::kNotSent) << "the backend is not at fault";
+  EXPECT_EQ(ReadToEnd(peer).bytes, "");
+}
+
 TEST_F(Attempts, WritesNothingWhenCancelledAsItsConnectionIsReady) {
   Send(milliseconds(60000));
   Tcp::socket peer = Accept();  // established, but not handled by the event loop yet
--- a/tests/proxy/client_disconnect_test.cpp
+++ b/tests/proxy/client_disconnect_test.cpp
@@ -4,7 +4,10 @@
 // their request is.
 #include <gtest/gtest.h>
 
+#include <boost/beast/http/parser.hpp>
+#include <cstdio>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,6 +55,98 @@
   ExpectAllReleased(BookRequest(), std::string(2 * 1024 * 1024, 'x'));
 }
 
+std::string ChunkedRequest(const std::string& body) {
+  char size[24];
+  std::snprintf(size, sizeof size, "%zx\r\n", body.size());
+  return "POST /book HTTP/1.1\r\nReq-Id: 0c\r\nReq-Kind: book\r\nTransfer-Encoding: chunked\r\n\r\n" +
+         std::string(size) + body + "\r\n0\r\n\r\n";
+}
+
+constexpr std::size_t kLargeBodyBytes = 3 * 1000 * 1000;
+
+// Guards against a booking being run for a client that has gone: while its large request waited for an
+// attempt, nothing read from the connection, and the end behind the body was not seen.
+TEST(ClientDisconnected, IsDetectedBehindALargeBody) {
+  ExpectAllReleased(PostRequest("book", "", std::string(kLargeBodyBytes, 'x')));
+  ExpectAllReleased(ChunkedRequest(std::string(kLargeBodyBytes, 'x')));
+}
+TEST(ClientDisconnected, IsDetectedWithinALargeBody) {
+  ExpectAllReleased(
+      PostRequest("book", "", std::string(kLargeBodyBytes, 'x')).substr(0, kLargeBodyBytes / 2));
+}
+TEST(ClientDisconnected, IsDetectedBehindARequestThatFollowsALargeBody) {
+  ExpectAllReleased(PostRequest("book", "", std::string(kLargeBodyBytes, 'x')) +
+                    WithRequestId(BookRequest(), "next"));
+}
+
+// A large request whose attempt is connecting for a second, more than an attempt may begin after its client
+// has disconnected.
+struct LateConnection {
+  // @param memory_mb of which a quarter is for bodies.
+  explicit LateConnection(int memory_mb) : setup(Members(MemberJson("s-1", listener.address()))) {
+    setup.config["limits"]["memory_mb"] = memory_mb;
+    setup.config["settings"]["permissions"]["connectTimeoutMs"] = 600000.0;
+    setup.Start();
+    client = std::make_unique<Client>(setup.proxy->address);
+    client->Send(PostRequest("book", "", std::string(kLargeBodyBytes, 'x')));
+    EXPECT_TRUE(setup.proxy->WaitUntil([](proxy::Proxy& p) { return p.backend_connections() == 1; }));
+  }
+  std::optional<Tcp::socket> Accept() {
+    return listener.AcceptUnless([] { return false; });
+  }
+
+  FullBacklogListener listener;
+  ProxySetup setup;
+  std::unique_ptr<Client> client;
+};
+
+constexpr int kTooLittleMemoryMb = 8, kEnoughMemoryMb = 64;
+
+// Guards against the same where memory does not allow to read up to the end: the attempt must not begin, as
+// the client may have left long ago.
+TEST(ClientDisconnected, LargeRequestOfUnconfirmedClientIsNotForwarded) {
+  LateConnection late(kTooLittleMemoryMb);
+  late.client.reset();
+  auto peer = late.Accept();
+  ASSERT_TRUE(peer);
+  EXPECT_EQ(ReadToEnd(*peer).bytes, "");
+  EXPECT_TRUE(late.setup.proxy->WaitUntilNoOpenRequests());
+}
+
+TEST(ClientDisconnected, LargeRequestOfUnconfirmedClientIsRejectedWithoutEffect) {
+  LateConnection late(kTooLittleMemoryMb);
+  auto peer = late.Accept();
+  ASSERT_TRUE(peer);
+  EXPECT_EQ(late.client->Read().result_int(), 503u);
+  EXPECT_EQ(ReadToEnd(*peer).bytes, "");
+}
+
+// What remains allowed: a client that stays is served, where memory allows to confirm that.
+TEST(ClientDisconnected, LargeRequestOfConnectedClientIsForwardedAfterALateConnection) {
+  LateConnection late(kEnoughMemoryMb);
+  auto peer = late.Accept();
+  ASSERT_TRUE(peer);
+  boost::beast::flat_buffer buffer;
+  http::request_parser<http::string_body> parser;
+  parser.body_limit(boost::none);
+  http::read(*peer, buffer, parser);
+  EXPECT_EQ(parser.get().body().size(), kLargeBodyBytes);
+  SendRaw(*peer, OkResponse("served"));
+  EXPECT_EQ(late.client->Read().body(), "served");
+}
+
+// What remains allowed: where memory is short, an attempt that begins at once.
+TEST(ClientDisconnected, LargeRequestIsForwardedAtOnceWithLittleMemory) {
+  Backend backend;
+  ProxySetup setup(Members(MemberJson("s-1", backend.address())));
+  setup.config["limits"]["memory_mb"] = kTooLittleMemoryMb;
+  setup.Start();
+  Client client(setup.proxy->address);
+  for (int i = 0; i < 2; ++i)
+    EXPECT_EQ(client.SendAndRead(PostRequest("book", "", std::string(kLargeBodyBytes, 'x'))).body(),
+              "served");
+}
+
 TEST(ClientDisconnected, IsDetectedByAReset) {
   FullBacklogListener listener;
   UnreachableBackendSetup setup(listener);
