Count the time of a large request from its last byte, however slowly its backend reads

Cause: the timeout of an attempt with a streamed body counted from the last byte that the backend had taken, and each piece had 5 s to be taken.

Change: StreamedBody knows when the last byte arrived: when it was read or, where memory does not allow that and the length is known, when the kernel had it. From then on the client's time limits the writing as well; until then a backend may stall for the client's time and 0.4 s, at most 5 s. The client gets 503, as nothing has run. Given up: uploads whose backend takes nothing for longer than that while the client still sends. Open: the last byte in the client's kernel, and chunked bodies that memory does not allow to read.

The test of small streams outlives the time to write a response, without which its mutant was not caught, and the size of a read is calculated without content_length_remaining, which gcc reports as uninitialized under sanitizers.

--- a/src/proxy/core/action_executor.cpp
+++ b/src/proxy/core/action_executor.cpp
@@ -57,7 +57,10 @@
   const AttemptRecord attempt{action.request, number, action.backend, now};
   request.attempt = backends_.SendRequest(
       action.backend, request.message,
-      {.timeout = timeout, .send_by = clock_.ToSteady(action.send_by), .response_due = request.deadline},
+      {.timeout = timeout,
+       .send_by = clock_.ToSteady(action.send_by),
+       .response_time = request.deadline - request.received_at,
+       .response_due = request.deadline},
       [this, attempt](AttemptResult result) { OnAttemptCompleted(attempt, std::move(result)); },
       request.upload);
 }
--- a/src/proxy/downstream/client_session.cpp
+++ b/src/proxy/downstream/client_session.cpp
@@ -193,6 +193,11 @@
   return IsAwaitingResponse() && body && body->ConfirmClient();
 }
 
+std::optional<Steady::time_point> ClientSession::ArrivedAt() const {
+  const auto body = reader_.streamed_body();
+  return body ? body->arrived_at() : std::nullopt;
+}
+
 void ClientSession::OnStreamedBodyRead() {
   if (!is_forwarding_) WatchForDisconnect();
 }
--- a/src/proxy/downstream/client_session.h
+++ b/src/proxy/downstream/client_session.h
@@ -88,6 +88,7 @@
   // BodySource, for the rest of a streamed request body.
   void Read(OnBodyChunk on_chunk) override;
   bool ConfirmSender() override;
+  std::optional<Steady::time_point> ArrivedAt() const override;
 
   // Callbacks of RequestReader and StreamedBody.
   void OnRequestRead(Steady::time_point at);
--- a/src/proxy/downstream/request_reader.cpp
+++ b/src/proxy/downstream/request_reader.cpp
@@ -16,6 +16,7 @@
 #include "proxy/downstream/client_session.h"
 #include "proxy/downstream/read_error.h"
 #include "proxy/http/framing.h"
+#include "proxy/http/read_size.h"
 
 namespace copperpoint::proxy {
 namespace {
@@ -152,16 +153,10 @@
     return session_.OnRequestRead(Steady::now());
   session_.ExtendDeadline(body_started_ + session_.timeouts().body_grace + TimeAtMinRate(body_.size()));
   const auto is_current = [session = session_.shared_from_this()] { return session->IsReadingRequest(); };
-  ReadBodyChunk(socket_, buffer_, *parser_, MaxReadBytes(), is_current,
+  ReadBodyChunk(socket_, buffer_, *parser_, BodyReadSize(*parser_, body_.size(), kBodyChunkSize), is_current,
                 [this](const Error& error, std::string_view chunk) { OnBodyChunk(error, chunk); });
 }
 
-// Bytes behind a body of known length stay unread.
-std::size_t RequestReader::MaxReadBytes() const {
-  const auto remaining = parser_->content_length_remaining().value_or(kBodyChunkSize);
-  return static_cast<std::size_t>(std::clamp<std::uint64_t>(remaining, 1, kBodyChunkSize));
-}
-
 void RequestReader::OnBodyChunk(const Error& error, std::string_view chunk) {
   body_.append(chunk);
   if (error) return OnReadError(error);
@@ -196,7 +191,8 @@
 
 HttpRequest RequestReader::TakeRequest(Steady::time_point connected_at) {
   if (!parser_->is_done()) {
-    streamed_body_ = std::make_shared<StreamedBody>(session_, socket_, buffer_, *parser_, connected_at);
+    streamed_body_ =
+        std::make_shared<StreamedBody>(session_, socket_, buffer_, *parser_, body_.size(), connected_at);
   }
   return HttpRequest(std::move(parser_->get().base()), std::exchange(body_, {}));
 }
--- a/src/proxy/downstream/request_reader.h
+++ b/src/proxy/downstream/request_reader.h
@@ -52,7 +52,7 @@
   Steady::time_point ArrivalTime(Steady::time_point now);
 
   // The rest of a body that is forwarded before it is read; null if there is none.
-  StreamedBody* streamed_body() { return streamed_body_.get(); }
+  StreamedBody* streamed_body() const { return streamed_body_.get(); }
   BodySource::OnBodyChunk CancelStreamedBody() { return streamed_body_ ? streamed_body_->Cancel() : nullptr; }
 
   // Reads, without waiting, the bytes that the client has sent, and records `at` as their arrival time. A
@@ -81,7 +81,6 @@
   void RejectForMemory();
   void SendContinue();
   void ReadBufferedBody();
-  std::size_t MaxReadBytes() const;
   void OnBodyChunk(const boost::system::error_code& error, std::string_view chunk);
   bool ExtendBodyBuffer();
   // Keeps `bytes` more in buffer_. @return false if memory does not allow it.
--- a/src/proxy/downstream/streamed_body.cpp
+++ b/src/proxy/downstream/streamed_body.cpp
@@ -8,6 +8,7 @@
 
 #include "proxy/downstream/client_session.h"
 #include "proxy/downstream/read_error.h"
+#include "proxy/http/read_size.h"
 
 namespace copperpoint::proxy {
 namespace {
@@ -27,17 +28,20 @@
 }  // namespace
 
 StreamedBody::StreamedBody(ClientSession& session, asio::ip::tcp::socket& socket,
-                           boost::beast::flat_buffer& buffer, Parser& parser, Steady::time_point connected_at)
+                           boost::beast::flat_buffer& buffer, Parser& parser, std::size_t buffered_bytes,
+                           Steady::time_point connected_at)
     : session_(session),
       socket_(socket),
       buffer_(buffer),
       parser_(parser),
       memory_(session.body_memory()),
+      buffered_bytes_(buffered_bytes),
       connected_at_(connected_at) {}
 
 StreamedBody::~StreamedBody() { memory_->Release(reserved_bytes_); }
 
 void StreamedBody::ReadAhead() {
+  RecordArrival();
   if (reading_ || complete_ || !ReserveBlock()) return;
   reading_ = true;
   reading_since_ = Steady::now();
@@ -46,13 +50,22 @@
     const auto self = body.lock();
     return self && !self->complete_ && session->IsAwaitingResponse();
   };
-  ReadBodyChunk(socket_, buffer_, parser_, MaxReadBytes(), is_current,
+  ReadBodyChunk(socket_, buffer_, parser_,
+                BodyReadSize(parser_, buffered_bytes_ + read_bytes_, RoomInLastBlock()), is_current,
                 [this](const Error& error, std::string_view chunk) {
                   const auto self = shared_from_this();
                   OnRead(error, chunk);
                 });
 }
 
+// Where memory does not allow to read the end, it may have arrived all the same.
+void StreamedBody::RecordArrival() {
+  const std::uint64_t remaining = RemainingBodyBytes(parser_, buffered_bytes_ + read_bytes_);
+  if (arrived_at_ || complete_ || remaining == 0) return;
+  Error failed;
+  if (buffer_.size() + socket_.available(failed) >= remaining && !failed) arrived_at_ = Steady::now();
+}
+
 // The chunks together may take the time at the minimum rate plus a grace period. Time in which memory allows
 // no reading (backpressure) does not count against the client.
 Steady::duration StreamedBody::TimeLeft() const {
@@ -94,13 +107,6 @@
   return kBodyChunkSize - std::min(kBodyChunkSize, blocks_.back().size());
 }
 
-// Bytes behind a body of known length stay unread.
-std::size_t StreamedBody::MaxReadBytes() const {
-  const std::uint64_t room = RoomInLastBlock();
-  return static_cast<std::size_t>(
-      std::clamp<std::uint64_t>(parser_.content_length_remaining().value_or(room), 1, room));
-}
-
 void StreamedBody::Append(std::string_view chunk) {
   if (blocks_.empty()) blocks_.emplace_back();  // delivered since the read began
   if (blocks_.back().empty()) blocks_.back().reserve(kBodyChunkSize);
@@ -108,6 +114,7 @@
   read_bytes_ += chunk.size();
   if (!parser_.is_done()) return;
   complete_ = true;
+  if (!arrived_at_) arrived_at_ = Steady::now();
   session_.SetDeadline(Steady::time_point::max());
   session_.OnStreamedBodyRead();
 }
@@ -138,7 +145,8 @@
 bool StreamedBody::ConfirmClient() {
   const auto now = Steady::now();
   for (int reads = 0; reads < kMaxReadsPerTurn && !complete_ && ReserveBlock(); ++reads) {
-    const BodyChunk read = TryReadBodyChunk(socket_, buffer_, parser_, MaxReadBytes());
+    const BodyChunk read = TryReadBodyChunk(
+        socket_, buffer_, parser_, BodyReadSize(parser_, buffered_bytes_ + read_bytes_, RoomInLastBlock()));
     if (read.error) {
       asio::post(socket_.get_executor(),
                  [self = shared_from_this(), error = read.error, session = session_.shared_from_this()] {
--- a/src/proxy/downstream/streamed_body.h
+++ b/src/proxy/downstream/streamed_body.h
@@ -14,6 +14,7 @@
 #include <cstddef>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -32,9 +33,11 @@
  public:
   using Parser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
 
-  // @param connected_at the latest time at which the client is known to have been connected.
+  // @param buffered_bytes of the body that were read before. @param connected_at the latest time at which the
+  // client is known to have been connected.
   StreamedBody(ClientSession& session, boost::asio::ip::tcp::socket& socket,
-               boost::beast::flat_buffer& buffer, Parser& parser, Steady::time_point connected_at);
+               boost::beast::flat_buffer& buffer, Parser& parser, std::size_t buffered_bytes,
+               Steady::time_point connected_at);
   ~StreamedBody();
   StreamedBody(const StreamedBody&) = delete;
   StreamedBody& operator=(const StreamedBody&) = delete;
@@ -53,18 +56,20 @@
 
   // @return whether the last byte has been read from the client.
   bool complete() const { return complete_; }
+  // @return when the last byte had arrived, read or not; nullopt if that is not known.
+  std::optional<Steady::time_point> arrived_at() const { return arrived_at_; }
 
   // An attempt may begin for this long after the client has disconnected.
   static constexpr std::chrono::milliseconds kMaxUnconfirmedTime{100};
 
  private:
+  void RecordArrival();
   bool ReserveBlock();
   std::size_t RoomInLastBlock() const;
   void Append(std::string_view chunk);
   void OnRead(const boost::system::error_code& error, std::string_view chunk);
   void OnError(const boost::system::error_code& error);
   void Deliver();
-  std::size_t MaxReadBytes() const;
   Steady::duration TimeLeft() const;
 
   ClientSession& session_;
@@ -77,7 +82,9 @@
   BodySource::OnBodyChunk on_chunk_;  // of the Read in progress
   bool reading_ = false;
   bool complete_ = false;
+  std::size_t buffered_bytes_;  // of the body, read before
   Steady::time_point connected_at_;
+  std::optional<Steady::time_point> arrived_at_;
   Steady::time_point reading_since_{};
   Steady::duration reading_time_{};  // in total
   std::size_t read_bytes_ = 0;
--- a/src/proxy/http/body_stream.h
+++ b/src/proxy/http/body_stream.h
@@ -15,10 +15,13 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 
+#include "proxy/clock.h"
+
 namespace copperpoint::proxy {
 
 // Size in bytes up to which a body is always buffered completely.
@@ -45,6 +48,9 @@
   // have done so behind bytes that can't be read now; the source reports a disconnect to its owner from the
   // event loop.
   virtual bool ConfirmSender() { return true; }
+  // @return when the last byte of the body had arrived from the sender; nullopt if it has not, as far as is
+  // known.
+  virtual std::optional<Steady::time_point> ArrivedAt() const { return std::nullopt; }
 };
 
 // The rest of a request's body on its way to a backend.
--- a/src/proxy/upstream/attempt.h
+++ b/src/proxy/upstream/attempt.h
@@ -38,6 +38,8 @@
   // Latest time at which the last byte of the request may be written. An attempt that is not written
   // completely by then ends as kNotSent.
   Steady::time_point send_by = Steady::time_point::max();
+  // From the arrival of the request's last byte until its client gives up; 0: `timeout` counts instead.
+  Steady::duration response_time{};
   // When the client gives up. Unlike `timeout`, it doesn't end before a retry.
   Steady::time_point response_due = Steady::time_point::max();
 };
@@ -50,8 +52,10 @@
   AttemptCallback on_completed;  // null once completed
   Steady::time_point started_at{};
   Steady::duration timeout{};
-  Steady::time_point deadline{};  // start plus `timeout` or, with an upload, its last byte plus `timeout`
+  Steady::time_point
+      deadline{};  // start plus `timeout`; once an upload is written, BackendConnection::UploadDue
   Steady::time_point send_by = Steady::time_point::max();  // as in AttemptLimits
+  Steady::duration response_time{};                        // as in AttemptLimits
   Steady::time_point response_due =
       Steady::time_point::max();    // as in AttemptLimits; of an upload, `deadline`
   Steady::time_point written_at{};  // when the last byte of an upload was written
--- a/src/proxy/upstream/backend_connection.cpp
+++ b/src/proxy/upstream/backend_connection.cpp
@@ -108,7 +108,7 @@
   if (attempt_.upload) {
     writer_.Clear();
     attempt_.written_at = Steady::now();
-    attempt_.deadline = std::min(attempt_.written_at + attempt_.timeout, pool_->answer_by());
+    attempt_.deadline = UploadDue(attempt_.upload->source->ArrivedAt().value_or(attempt_.written_at));
     attempt_.response_due = attempt_.deadline;
     SetTimer(attempt_.deadline);
   } else if (attempt_.send_by < attempt_.deadline) {
@@ -123,6 +123,25 @@
                      });
 }
 
+// The client's time counts from the last byte that it has sent, however late its backend takes it.
+Steady::time_point BackendConnection::UploadDue(Steady::time_point arrived_at) const {
+  if (attempt_.response_time <= Steady::duration(0))
+    return std::min(Steady::now() + attempt_.timeout, pool_->answer_by());
+  const auto due = std::max(attempt_.started_at + attempt_.timeout, arrived_at + attempt_.response_time);
+  return std::min(due, pool_->answer_by());
+}
+
+// Until the last byte arrives, it may arrive at any time: a backend that takes nothing must not hold the
+// final response back for longer than the client's time from then on.
+void BackendConnection::RestartUploadTimer() {
+  Steady::duration stall = timeouts().body_stall;
+  if (attempt_.response_time > Steady::duration(0))
+    stall = std::min<Steady::duration>(stall, attempt_.response_time + kLateResponseTime);
+  auto at = std::min(Steady::now() + stall, pool_->answer_by());
+  if (const auto arrived_at = attempt_.upload->source->ArrivedAt()) at = std::min(at, UploadDue(*arrived_at));
+  SetTimer(at);
+}
+
 void BackendConnection::LogRequestWritten() const {
   if (!log::Global().Enabled(log::Level::kDebug)) return;
   log::Global().Debug(log::events::kRequestWritten,
@@ -291,6 +310,5 @@
 }
 
 const Timeouts& BackendConnection::timeouts() const { return pool_->timeouts(); }
-Steady::time_point BackendConnection::answer_by() const { return pool_->answer_by(); }
 
 }  // namespace copperpoint::proxy
--- a/src/proxy/upstream/backend_connection.h
+++ b/src/proxy/upstream/backend_connection.h
@@ -84,12 +84,13 @@
   void RestartResponseTimer(Steady::duration stall);
   // Leaves the attempt's timeout as the only limit.
   void RestartAttemptTimer() { SetTimer(attempt_.deadline); }
+  // Limits the time in which the backend takes a chunk of an upload.
+  void RestartUploadTimer();
   // Limits the time until the next read of a streamed response. @param may_be_small as ResponseReader's.
   void RestartStreamTimer(bool may_be_small);
   // The header of the final response has been read.
   void OnBodyStarted();
   const Timeouts& timeouts() const;
-  Steady::time_point answer_by() const;
   bool closed() const { return state_ == ConnectionState::kClosed; }
   bool streaming() const { return state_ == ConnectionState::kStreamingResponse; }
 
@@ -100,6 +101,8 @@
   void WriteRequest();
   // @return until when the request may be written.
   Steady::time_point WriteBy() const;
+  // @return when the response to an upload is due whose last byte had arrived at `arrived_at`.
+  Steady::time_point UploadDue(Steady::time_point arrived_at) const;
   void LogRequestWritten() const;
   void OnTimer();
   ExpiredLimit LimitReached() const;
--- a/src/proxy/upstream/backend_pool.cpp
+++ b/src/proxy/upstream/backend_pool.cpp
@@ -98,6 +98,7 @@
                       .timeout = attempt_timeout,
                       .deadline = now + attempt_timeout,
                       .send_by = limits.send_by,
+                      .response_time = limits.response_time,
                       .response_due = limits.response_due});
   if (reused) {
     connection->Reuse();
--- a/src/proxy/upstream/request_writer.cpp
+++ b/src/proxy/upstream/request_writer.cpp
@@ -59,13 +59,12 @@
   Flush(/*last=*/true);
 }
 
-// The attempt's timeout counts from the last byte. Until then, ClientSession limits the time of the client,
-// and the stall timeout of each chunk, or the end of a shutdown, that of the backend.
+// Until the last byte is written, ClientSession limits the time of the client, and the timer of each chunk
+// that of the backend.
 void RequestWriter::WriteChunk(std::string bytes, bool last) {
   buffer_ = std::move(bytes);
   position_ = 0;
-  connection_.SetTimer(std::min<Steady::time_point>(Steady::now() + connection_.timeouts().body_stall,
-                                                    connection_.answer_by()));
+  connection_.RestartUploadTimer();
   Flush(last);
 }
 
--- a/tests/proxy/large_body_test.cpp
+++ b/tests/proxy/large_body_test.cpp
@@ -3,8 +3,11 @@
 // Bodies larger than a buffer: framing, memory limits, truncation and stalls.
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <chrono>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "support/loopback.h"
@@ -135,6 +138,71 @@
   EXPECT_TRUE(setup.proxy->WaitUntilNoOpenRequests());
 }
 
+// A backend that reads pieces of a request, and pauses after each of them.
+struct SlowReader {
+  explicit SlowReader(std::chrono::milliseconds pause)
+      : listener([this, pause](Tcp::socket& s) {
+          std::string some(64 * 1024, ' ');
+          error_code failed;
+          while (!released && !failed) {
+            asio::read(s, asio::buffer(some), failed);
+            const auto until = std::chrono::steady_clock::now() + pause;
+            while (!released && std::chrono::steady_clock::now() < until)
+              std::this_thread::sleep_for(std::chrono::milliseconds(1));
+          }
+        }) {}
+  ~SlowReader() { released = true; }
+  std::atomic<bool> released = false;
+  Listener listener;
+};
+
+constexpr std::size_t kMoreThanKernelBuffers = 30 * 1000 * 1000;
+
+// Guards against a final response that comes seconds after its time: the client's time counted from the last
+// byte that the backend had taken, and the backend could take any time up to a minute (here) for each piece.
+TEST(LargeBodies, BackendThatReadsSlowlyDoesNotDelayTheFinalResponse) {
+  struct Variant {
+    int memory_mb;
+    std::chrono::milliseconds pause;
+  };
+  const Variant stops{192, std::chrono::minutes(1)}, reads_on{192, std::chrono::milliseconds(10)};
+  const Variant stops_with_little_memory{8, std::chrono::minutes(1)};  // the body is read ahead in part
+  for (const auto& [memory_mb, pause] : {stops, reads_on, stops_with_little_memory}) {
+    SlowReader backend(pause);
+    ProxySetup setup(Members(MemberJson("s-1", backend.listener.address)));
+    setup.config["limits"]["memory_mb"] = memory_mb;
+    setup.timeouts.body_stall = std::chrono::minutes(1);
+    setup.Start();
+    Client client(setup.proxy->address);
+    const auto started = std::chrono::steady_clock::now();
+    // Written by a thread, as the proxy takes only a part of it while memory is short.
+    std::thread sender([&] {
+      client.Send(PostRequest("book", "Req-Deadline-Ms: 300\r\n", Patterned(kMoreThanKernelBuffers)));
+    });
+    EXPECT_EQ(client.Read().result_int(), 503u) << "no backend can have run it";
+    const auto elapsed = std::chrono::steady_clock::now() - started;
+    EXPECT_GE(elapsed, std::chrono::milliseconds(300)) << "the client's time must not be cut short";
+    EXPECT_LT(elapsed, kWaitTimeout);
+    client.socket.shutdown(Tcp::socket::shutdown_both);
+    sender.join();
+  }
+}
+
+// What remains allowed: the client's time counts from its last byte, however slowly it sends.
+TEST(LargeBodies, ClientsTimeStartsAtItsLastByte) {
+  Backend backend;
+  ProxySetup setup(Members(MemberJson("s-1", backend.address())));
+  setup.timeouts.body_grace = std::chrono::minutes(1);
+  setup.Start();
+  Client client(setup.proxy->address);
+  const std::string request = PostRequest("book", "Req-Deadline-Ms: 500\r\n", Patterned(3 * 1000 * 1000));
+  client.Send(request.substr(0, request.size() - 1));
+  ASSERT_TRUE(setup.proxy->WaitUntil([](proxy::Proxy& p) { return p.backend_connections() == 1; }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  client.Send(request.substr(request.size() - 1));
+  EXPECT_EQ(client.Read().body(), "served");
+}
+
 TEST(LargeBodies, RejectsTooLargeContentLengthAtTheHeader) {
   ProxySetup setup(Members());
   setup.Start();
--- a/tests/proxy/slow_response_test.cpp
+++ b/tests/proxy/slow_response_test.cpp
@@ -203,7 +203,7 @@
   });
   ProxySetup setup(Members(MemberJson("s-1", backend.address())));
   setup.timeouts.response_stall = setup.timeouts.response_header_stall = kShort;
-  setup.timeouts.body_stall = kLong;
+  setup.timeouts.body_stall = setup.timeouts.response_write = kLong;
   setup.Start();
   Client client(setup.proxy->address);
   const auto sent_at = Steady::now();
