Read the rest of a rejected large body before the close again

Found when the change was read again; no caller has reported it.

Change: the session remembers that a streamed body was being dropped.

--- a/src/proxy/downstream/client_session.cpp
+++ b/src/proxy/downstream/client_session.cpp
@@ -157,6 +157,7 @@
 // No further request is read from this client: its bytes may be the rest of the one that could not be parsed.
 void ClientSession::OnInvalidRequest(http::status status, std::string text) {
   close_after_response_ = true;
+  drops_streamed_body_ = reader_.body_streaming();
   reader_.DropRequest();
   WriteResponse(TextResponse(status, std::move(text) + '\n'));
 }
@@ -304,7 +305,7 @@
     Error error = failed;
     if (!error) self->discarded_bytes_ += self->socket_.read_some(asio::buffer(ReadScratch()), error);
     if (error == asio::error::would_block || error == asio::error::try_again) error = {};
-    const std::size_t max_bytes = self->reader_.body_streaming() ? kMaxBody : kMaxDiscardedBytes;
+    const std::size_t max_bytes = self->IsBodyUnread() ? kMaxBody : kMaxDiscardedBytes;
     if (error || self->discarded_bytes_ > max_bytes) return self->Close();
     self->DiscardInput();
   });
--- a/src/proxy/downstream/client_session.h
+++ b/src/proxy/downstream/client_session.h
@@ -125,6 +125,8 @@
   void WriteStream(HttpResponse&& response, std::shared_ptr<BodySource> body_stream,
                    std::optional<std::uint64_t> body_length);
   bool ClosesAfterResponse() const;
+  // @return whether the rest of a streamed body may still arrive.
+  bool IsBodyUnread() const { return drops_streamed_body_ || reader_.body_streaming(); }
   void DiscardInput();
 
   SessionManager* manager_;  // null once detached
@@ -139,7 +141,8 @@
   bool http_1_0_ = false;                           // version of the current request
   bool has_sent_request_ = false;                   // at least one request was read
   bool close_after_response_ = false;
-  std::size_t discarded_bytes_ = 0;  // by the lingering close
+  bool drops_streamed_body_ = false;  // the request was rejected before its streamed body was read
+  std::size_t discarded_bytes_ = 0;   // by the lingering close
 };
 
 }  // namespace copperpoint::proxy
--- a/tests/proxy/large_body_test.cpp
+++ b/tests/proxy/large_body_test.cpp
@@ -138,6 +138,26 @@
   EXPECT_TRUE(setup.proxy->WaitUntilNoOpenRequests());
 }
 
+// Guards against a reset in place of the end of the connection: the rest of a rejected body is read before
+// the close.
+TEST(LargeBodies, RestOfARejectedBodyIsReadBeforeTheClose) {
+  Backend backend;
+  ProxySetup setup(Members(MemberJson("s-1", backend.address())));
+  setup.timeouts.body_grace = std::chrono::milliseconds(100);
+  setup.timeouts.lingering_close = std::chrono::minutes(1);
+  setup.Start();
+  Client client(setup.proxy->address);
+  const std::string request = PostRequest("book", "", Patterned(3 * 1000 * 1000));
+  client.Send(request.substr(0, 200 * 1000));
+  EXPECT_EQ(client.Read().result_int(), 408u);
+  error_code failed;
+  asio::write(client.socket, asio::buffer(request.substr(200 * 1000)), failed);
+  EXPECT_FALSE(failed) << failed.message();
+  char byte;
+  client.socket.read_some(asio::buffer(&byte, 1), failed);
+  EXPECT_EQ(failed, asio::error::eof);
+}
+
 // A backend that reads pieces of a request, and pauses after each of them.
 struct SlowReader {
   explicit SlowReader(std::chrono::milliseconds pause)
