Hand the endpoint list over to the process that replaces this one

Cause, by a trace of the new process at level debug: its only list was `endpoint_list_received kind=cached`, that of the configuration; the hand-over had ejections and the work of slow start, but no list, and skipped ejections of backends that the configuration does not name.

Now the predecessor's list follows the listener, in a sealed memory file, and is applied before the first client is accepted. EndpointListOrigin decides which list is newer; the list of the configuration always gives way, one's own answer of discovery only to a higher revision that is not of an earlier count. A list from the other process says nothing about the poll or the watch (kind kHandedOver), and a response that was under way and is older is read again. What arrives is checked like a list from discovery; at most 8 MiB, one list under way at a time. The yes waits at most 0.1 s, and only for a predecessor that has announced its list. Older programs on either side see the messages that they know.

--- a/include/copperpoint/balancer.h
+++ b/include/copperpoint/balancer.h
@@ -94,14 +94,21 @@
 // The state of a backend as discovery reports it. The simulator's protocol has the states in this order.
 enum class EndpointState { kRemoved, kReady, kDraining };
 
-// How an endpoint list was obtained. The simulator's protocol has the kinds in this order.
+// How an endpoint list was obtained. The simulator's protocol has the kinds up to kFailed, in this order.
 enum class EndpointUpdateKind {
   kIncremental,  // only the endpoints that changed
   kSnapshot,     // all endpoints; a backend that isn't among them is removed
   kCached,       // all endpoints as they were before this process started; may be out of date
   kFailed,       // the poll or watch failed; no endpoints
+  kHandedOver,   // all endpoints, from the other process of this proxy; says nothing about the poll or watch
 };
 
+// Returns whether an update of this kind names every endpoint, so that a backend it does not name is removed.
+constexpr bool ListsAllEndpoints(EndpointUpdateKind kind) {
+  return kind == EndpointUpdateKind::kSnapshot || kind == EndpointUpdateKind::kCached ||
+         kind == EndpointUpdateKind::kHandedOver;
+}
+
 struct Endpoint {
   BackendId backend = 0;
   int zone = 0;
--- a/src/decision/endpoint_poller.h
+++ b/src/decision/endpoint_poller.h
@@ -20,14 +20,15 @@
   // `max_interval`: Settings::max_poll_interval.
   explicit EndpointPoller(Duration max_interval) : max_interval_(max_interval) {}
 
-  // Handles the result of a poll or a watch. kCached is the list that a process starts with.
+  // Handles the result of a poll or a watch. kCached is the list that a process starts with. kHandedOver
+  // comes from elsewhere: a poll that is due or waits for its answer stays as it is.
   void OnUpdate(EndpointUpdateKind kind, TimePoint now, Random& random) {
     if (kind == EndpointUpdateKind::kCached) {
       next_poll_at_ = now;
     } else if (kind == EndpointUpdateKind::kFailed) {
       backoff_ = std::min({max_interval_ / 4, kMaxBackoff, std::max(max_interval_ / 20, backoff_ * 2)});
       next_poll_at_ = now + backoff_ * (0.5 + 0.5 * random.Unit());
-    } else {
+    } else if (kind != EndpointUpdateKind::kHandedOver) {
       backoff_ = Duration(0);
       next_poll_at_ = kNever;
     }
--- a/src/decision/endpoint_set.cpp
+++ b/src/decision/endpoint_set.cpp
@@ -5,7 +5,7 @@
 
 EndpointSet::Changes EndpointSet::Apply(const EndpointUpdate& update, TimePoint now) {
   Changes changes;
-  if (update.kind != EndpointUpdateKind::kIncremental) MarkUnlistedRemoved(update, now, &changes);
+  if (ListsAllEndpoints(update.kind)) MarkUnlistedRemoved(update, now, &changes);
   changes.listed.reserve(update.endpoints.size());
   for (const Endpoint& endpoint : update.endpoints) {
     const bool added = !index_.contains(endpoint.backend);
--- a/src/proxy/control/disabled_backends.cpp
+++ b/src/proxy/control/disabled_backends.cpp
@@ -42,6 +42,13 @@
   return list;
 }
 
+EndpointList DisabledBackends::ListedEndpoints() const {
+  EndpointList list{revision_, /*complete=*/true, {}};
+  list.endpoints.reserve(listed_.size());
+  for (const auto& [id, endpoint] : listed_) list.endpoints.push_back(endpoint);
+  return list;
+}
+
 EndpointList DisabledBackends::Replace(std::set<std::string> ids, bool from_file) {
   std::vector<std::string> changed;
   std::set_symmetric_difference(ids.begin(), ids.end(), ids_.begin(), ids_.end(),
--- a/src/proxy/control/disabled_backends.h
+++ b/src/proxy/control/disabled_backends.h
@@ -41,6 +41,8 @@
   EndpointList ReloadIfChanged();
 
   const std::set<std::string>& ids() const { return ids_; }
+  // Returns the present list as discovery has it, without the marks of this class.
+  EndpointList ListedEndpoints() const;
 
  private:
   ChangeResult Change(const std::string& id, bool disable, EndpointList* changes);
--- a/src/proxy/core/endpoint_table.cpp
+++ b/src/proxy/core/endpoint_table.cpp
@@ -42,7 +42,7 @@
 
 void EndpointTable::Apply(const EndpointList& list, EndpointUpdateKind kind) {
   backend_ids_.Assign(list.endpoints);
-  if (kind != EndpointUpdateKind::kIncremental) RetireUnlisted(list);
+  if (ListsAllEndpoints(kind)) RetireUnlisted(list);
   EndpointUpdate update;
   update.kind = kind;
   LogList(list, kind);
@@ -94,7 +94,7 @@
       removed_since_.erase(endpoint.id);
     }
   }
-  if (kind == EndpointUpdateKind::kIncremental) return;
+  if (!ListsAllEndpoints(kind)) return;
   for (const auto& [id, backend] : backend_ids_.all()) {
     if (!present.contains(id)) removed_since_.try_emplace(id, now);
   }
--- a/src/proxy/discovery/discovery_client.cpp
+++ b/src/proxy/discovery/discovery_client.cpp
@@ -42,6 +42,18 @@
   if (!migrating()) Enter(State::kWatching);
 }
 
+void DiscoveryClient::AdoptList(std::uint64_t revision, Steady::time_point received_at) {
+  options_.revision = revision;
+  if (watch_ && !watch_->message_received()) adopted_during_call_ = received_at;
+}
+
+bool DiscoveryClient::MayPredateAdoptedList(const EndpointStream& stream, const EndpointList& response) {
+  if (&stream != watch_.get()) return false;
+  const auto received_at = std::exchange(adopted_during_call_, std::nullopt);
+  if (!received_at || response.revision >= options_.revision) return false;
+  return !response.complete || watch_->opened_at() < *received_at;
+}
+
 void DiscoveryClient::Reload(const boost::asio::ip::tcp::endpoint& address) {
   current_by_ = Steady::now() + options_.reload_bound;
   if (address == (migrating() ? replacement_address_ : options_.address)) return;
@@ -71,6 +83,7 @@
   backoff_timer_.cancel();
   if (watch_) watch_->Detach();
   watch_ = NewStream(options_.address, EndpointStream::Request::kWatch);
+  adopted_during_call_.reset();
   watch_->Start();
 }
 
@@ -89,6 +102,7 @@
   }
   if (watch_) watch_->Detach();
   watch_ = std::move(replacement_);
+  adopted_during_call_.reset();
   options_.address = replacement_address_;
   state_ = State::kWatching;
   if (!update.complete) ArmConfirmation();
@@ -153,6 +167,10 @@
     if (replacement_request_ == EndpointStream::Request::kSnapshot && !update->complete) return false;
     if (!AdoptReplacement(*update)) return true;
   }
+  if (MayPredateAdoptedList(stream, *update)) {
+    OpenWatch();
+    return true;
+  }
   if (update->complete) EndConfirmation();
   backoff_.Reset();
   if (std::exchange(outage_logged_, false)) log::Global().Info(log::events::kDiscoveryRecovered);
--- a/src/proxy/discovery/discovery_client.h
+++ b/src/proxy/discovery/discovery_client.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "proxy/clock.h"
@@ -61,6 +62,14 @@
   // Returns the revision of the last update applied.
   std::uint64_t revision() const override { return options_.revision; }
 
+  // To be called for a list that has been obtained from elsewhere and applied. A later watch continues from
+  // its revision, and an incremental update older than it is not applied. The first response to a call that
+  // is under way may be older, too, or continue from a revision that is no longer known; the watch is then
+  // opened again. A snapshot applies nevertheless, whatever its revision, if its call was made after
+  // `received_at`, since discovery may count anew.
+  // @param received_at when the list was received from discovery.
+  void AdoptList(std::uint64_t revision, Steady::time_point received_at);
+
   // Handles a reload of the configuration, from which on the list has to be current within
   // Options::reload_bound: until then the client retries by itself also where it otherwise reconnects on
   // request. If `address` is another one, migrates to it; the open watch stays until a list has arrived from
@@ -92,6 +101,8 @@
   void AdoptConfirmation();
   void Apply(const EndpointList& update);
   void ArmBackoff();
+  // Returns whether the response may be older than a list that was adopted while it was awaited.
+  bool MayPredateAdoptedList(const EndpointStream& stream, const EndpointList& response);
   bool reload_bounds_time() const { return Steady::now() < current_by_; }
   std::shared_ptr<EndpointStream> NewStream(const boost::asio::ip::tcp::endpoint& address,
                                             EndpointStream::Request request);
@@ -107,6 +118,8 @@
   State state_ = State::kIdle;
   boost::asio::steady_timer backoff_timer_;
   std::shared_ptr<EndpointStream> watch_;
+  // When the list was received that was adopted while the watch awaits its first response.
+  std::optional<Steady::time_point> adopted_during_call_;
   std::shared_ptr<EndpointStream> replacement_;         // while migrating
   boost::asio::ip::tcp::endpoint replacement_address_;  // while migrating
   EndpointStream::Request replacement_request_ = EndpointStream::Request::kWatch;
--- a/src/proxy/discovery/endpoint_stream.h
+++ b/src/proxy/discovery/endpoint_stream.h
@@ -61,6 +61,10 @@
 
   void Start() { Enter(State::kConnecting); }
 
+  Steady::time_point opened_at() const { return opened_at_; }
+  // Returns whether a complete message, or a heartbeat, has arrived.
+  bool message_received() const { return message_received_; }
+
   // Closes the connection without a further call to the observer.
   void Detach();
 
@@ -93,6 +97,7 @@
   Observer* observer_;  // null once detached or ended
   const boost::asio::ip::tcp::endpoint address_;
   const Timeouts timeouts_;
+  const Steady::time_point opened_at_ = Steady::now();
   Request request_kind_;
   boost::beast::tcp_stream socket_;
   boost::beast::flat_buffer buffer_;
--- a/src/proxy/discovery/endpoints.cpp
+++ b/src/proxy/discovery/endpoints.cpp
@@ -6,6 +6,8 @@
 #include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <sstream>
+#include <utility>
 
 namespace copperpoint::proxy {
 namespace {
@@ -22,6 +24,24 @@
   return std::nullopt;
 }
 
+const char* PhaseName(EndpointState state) {
+  switch (state) {
+    case EndpointState::kReady:
+      return "in_service";
+    case EndpointState::kDraining:
+      return "terminating";
+    case EndpointState::kRemoved:
+      break;
+  }
+  return "terminated";
+}
+
+std::string HostPort(const Tcp::endpoint& address) {
+  std::ostringstream text;
+  text << address;
+  return text.str();
+}
+
 // Sets `fault` to the last fault of the entry. Throws json::exception if a required field is absent or a
 // field is of another type.
 DiscoveredEndpoint ReadEndpoint(const json& entry, std::optional<ErrorKind>* fault) {
@@ -117,6 +137,22 @@
   return ParseEndpointList(parsed, error);
 }
 
+std::string EncodeEndpointList(const EndpointList& list) {
+  json members = json::array();
+  for (const DiscoveredEndpoint& endpoint : list.endpoints) {
+    members.push_back({{"id", endpoint.id},
+                       {"host_port", HostPort(endpoint.address)},
+                       {"locality", endpoint.zone},
+                       {"flavor", endpoint.kind},
+                       {"cell", endpoint.cell},
+                       {"phase", PhaseName(endpoint.state)},
+                       {"size", endpoint.weight},
+                       {"up_since_ms", endpoint.up_since_unix_ms}});
+  }
+  return json{{"revision", list.revision}, {"complete", list.complete}, {"members", std::move(members)}}
+      .dump();
+}
+
 std::optional<Tcp::endpoint> ParseHostPort(std::string_view text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos || colon == 0) return std::nullopt;
--- a/src/proxy/discovery/endpoints.h
+++ b/src/proxy/discovery/endpoints.h
@@ -59,6 +59,9 @@
 std::optional<EndpointList> ParseEndpointList(const nlohmann::json& json, EndpointListError* error);
 std::optional<EndpointList> ParseEndpointList(std::string_view text, EndpointListError* error);
 
+// Returns the list in discovery's JSON form, which ParseEndpointList reads.
+std::string EncodeEndpointList(const EndpointList& list);
+
 // Parses "a.b.c.d:port" or "[v6]:port"; returns nothing if the text is not an address.
 std::optional<boost::asio::ip::tcp::endpoint> ParseHostPort(std::string_view text);
 
--- a/src/proxy/handover/handover_client.cpp
+++ b/src/proxy/handover/handover_client.cpp
@@ -78,22 +78,54 @@
 }
 
 void HandoverClient::OnMessage(ReceivedMessage message) {
-  if (state_ == State::kReceived) {
-    if (const auto report = DecodeDescriptorReport(message.text)) observer_.OnDescriptorReport(*report);
-    return;
+  if (state_ == State::kRequested) return OnListenerMessage(std::move(message));
+  if (IsEndpointListMessage(message.text)) {
+    observer_.OnPredecessorEndpoints(message);
+    return CompleteHandover();
   }
+  if (state_ != State::kReceived) return;
+  if (const auto report = DecodeDescriptorReport(message.text)) observer_.OnDescriptorReport(*report);
+}
+
+void HandoverClient::OnListenerMessage(ReceivedMessage message) {
   if (!ListensAt(message.descriptor.get(), listen_)) return Fail(HandoverError::kInvalidListener);
   timer_.cancel();
+  listener_message_ = std::move(message);
+  state_ = State::kAwaitingEndpoints;
+  if (!EndpointListFollows(listener_message_.text)) return CompleteHandover();
+  AwaitEndpointList();
+}
+
+void HandoverClient::AwaitEndpointList() {
+  timer_.expires_after(kEndpointListTimeout);
+  timer_.async_wait([this](const error_code& cancelled) {
+    if (!cancelled) CompleteHandover();
+  });
+}
+
+void HandoverClient::CompleteHandover() {
+  if (state_ != State::kAwaitingEndpoints) return;
+  timer_.cancel();
   state_ = State::kReceived;
+  ReceivedMessage message = std::exchange(listener_message_, ReceivedMessage());
   observer_.OnListenerReceived(std::move(message.descriptor), message.text);
 }
 
 void HandoverClient::OnConnectionEnded() {
   if (state_ == State::kRequested) return Fail(HandoverError::kPredecessorClosed);
+  CompleteHandover();
   state_ = State::kClosed;
   observer_.OnPredecessorExited();
 }
 
+bool HandoverClient::CanSendEndpointList() {
+  return state_ == State::kReceived && PeerHasReceivedAll(socket_);
+}
+
+bool HandoverClient::SendEndpointList(const EndpointListMessage& message) {
+  return !SendMessage(socket_, message.text, message.contents.get());
+}
+
 // Closing the connection makes the predecessor continue as the only process.
 void HandoverClient::Fail(HandoverError error) {
   timer_.cancel();
--- a/src/proxy/handover/handover_client.h
+++ b/src/proxy/handover/handover_client.h
@@ -11,6 +11,8 @@
 #include <memory>
 #include <string>
 
+#include "proxy/handover/endpoint_list_exchange.h"
+#include "proxy/handover/endpoint_list_message.h"
 #include "proxy/handover/handover_messages.h"
 #include "proxy/handover/message_socket.h"
 
@@ -27,9 +29,14 @@
 //
 //   kConnected -- RequestListener ------------------------> kRequested
 //   kRequested -- a valid listening socket arrives -------> kReceived    OnListenerReceived
+//   kRequested -- the same, and a list is announced ------> kAwaitingEndpoints
 //   kRequested -- timeout, end of connection, invalid ----> kClosed      OnHandoverFailed
+//   kAwaitingEndpoints -- the list arrives ---------------> kReceived    OnPredecessorEndpoints,
+//   OnListenerReceived kAwaitingEndpoints -- timeout, end of connection -----> kReceived OnListenerReceived
 //   kReceived --- end of connection ----------------------> kClosed      OnPredecessorExited
-class HandoverClient {
+//
+// A list that arrives later is reported in kReceived.
+class HandoverClient : public EndpointListChannel {
  public:
   class Observer {
    public:
@@ -37,6 +44,8 @@
     // This process owns the socket from here on. DecodeHandoverState decodes `encoded_state`.
     virtual void OnListenerReceived(OwnedDescriptor listener, const std::string& encoded_state) = 0;
     virtual void OnHandoverFailed(HandoverError error) = 0;
+    // Called for each endpoint list of the predecessor: before OnListenerReceived if it arrives in time.
+    virtual void OnPredecessorEndpoints(const ReceivedMessage& message) = 0;
     // Called only after OnListenerReceived, as is OnPredecessorExited.
     virtual void OnDescriptorReport(const DescriptorReport& report) = 0;
     virtual void OnPredecessorExited() = 0;
@@ -49,14 +58,22 @@
   // May be called once. Either OnListenerReceived or OnHandoverFailed follows, never from within this call.
   void RequestListener(const boost::asio::ip::tcp::endpoint& listen, std::chrono::milliseconds timeout);
 
+  bool CanSendEndpointList() override;
+  bool SendEndpointList(const EndpointListMessage& message) override;
+
  private:
-  enum class State { kConnected, kRequested, kReceived, kClosed };
+  enum class State { kConnected, kRequested, kAwaitingEndpoints, kReceived, kClosed };
+  // An announced list is sent at once, so that only a predecessor that is held up takes longer.
+  static constexpr std::chrono::milliseconds kEndpointListTimeout{100};
 
   HandoverClient(boost::asio::io_context& io, Observer& observer)
       : observer_(observer), socket_(io), timer_(io) {}
   void WaitForMessage();
   void OnReadable();
   void OnMessage(ReceivedMessage message);
+  void OnListenerMessage(ReceivedMessage message);
+  void AwaitEndpointList();
+  void CompleteHandover();
   void OnConnectionEnded();
   void Fail(HandoverError error);
 
@@ -65,6 +82,7 @@
   boost::asio::steady_timer timer_;
   boost::asio::ip::tcp::endpoint listen_;
   State state_ = State::kConnected;
+  ReceivedMessage listener_message_;  // in kAwaitingEndpoints: the listening socket and the encoded state
 };
 
 // Returns the name for log lines.
--- a/src/proxy/handover/handover_coordinator.cpp
+++ b/src/proxy/handover/handover_coordinator.cpp
@@ -15,7 +15,8 @@
       options_(std::move(options)),
       context_(context),
       export_state_(std::move(export_state)),
-      endpoints_timer_(io) {}
+      endpoints_timer_(io),
+      endpoint_lists_(context.endpoint_list) {}
 
 // ---- from the predecessor -------------------------------------------------------------------------------
 
@@ -30,8 +31,10 @@
 }
 
 // Called from within a callback of discovery, so the timer sends the request from an event of its own.
-void HandoverCoordinator::OnEndpointsReceived() {
-  if (phase_ == Phase::kWaitingForEndpoints) RequestListenerAfter(std::chrono::milliseconds(0));
+void HandoverCoordinator::OnDiscoveryList(std::uint64_t revision, bool serviceable) {
+  endpoint_lists_.OnDiscoveryList(revision);
+  if (serviceable && phase_ == Phase::kWaitingForEndpoints)
+    RequestListenerAfter(std::chrono::milliseconds(0));
 }
 
 void HandoverCoordinator::RequestListenerAfter(std::chrono::milliseconds wait) {
@@ -50,6 +53,10 @@
 
 void HandoverCoordinator::Cancel() { endpoints_timer_.cancel(); }
 
+void HandoverCoordinator::OnPredecessorEndpoints(const ReceivedMessage& message) {
+  endpoint_lists_.OnMessage(HandoverPeer::kPredecessor, message);
+}
+
 void HandoverCoordinator::OnListenerReceived(OwnedDescriptor listener, const std::string& encoded_state) {
   if (context_.lifecycle.shutting_down()) return;
   log::Global().Info(log::events::kUpgradeListenerReceived);
@@ -114,7 +121,13 @@
   log::Global().Info(log::events::kUpgradeListenerHandedOver);
   // Limits backend connections to those open now, but to one at least, so that open requests can be retried.
   context_.backends.SetConnectionLimit(std::max<std::size_t>(context_.backends.connection_count(), 1));
-  return HandoverServer::Grant{*listener, HandoverState{DescriptorsInUse(), ExportBackends()}};
+  endpoint_lists_.OnPeerReplaced(HandoverPeer::kSuccessor);
+  return HandoverServer::Grant{*listener, HandoverState{DescriptorsInUse(), ExportBackends()},
+                               endpoint_lists_.Encode()};
+}
+
+void HandoverCoordinator::OnSuccessorEndpoints(const ReceivedMessage& message) {
+  endpoint_lists_.OnMessage(HandoverPeer::kSuccessor, message);
 }
 
 void HandoverCoordinator::OnSuccessorExited() {
@@ -123,8 +136,12 @@
   context_.backends.SetConnectionLimit(context_.budget.ForSingleProcess().backends);
 }
 
-void HandoverCoordinator::ReportDescriptors() {
-  if (successor_) successor_->SendReport({DescriptorsInUse()});
+// A list goes before the report, which would count as not yet received.
+void HandoverCoordinator::SyncWithPeers() {
+  if (predecessor_) endpoint_lists_.Share(HandoverPeer::kPredecessor, *predecessor_);
+  if (!successor_) return;
+  endpoint_lists_.Share(HandoverPeer::kSuccessor, *successor_);
+  successor_->SendReport({DescriptorsInUse()});
 }
 
 int HandoverCoordinator::DescriptorsInUse() const {
--- a/src/proxy/handover/handover_coordinator.h
+++ b/src/proxy/handover/handover_coordinator.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -21,6 +22,7 @@
 #include "proxy/core/descriptor_budget.h"
 #include "proxy/core/endpoint_table.h"
 #include "proxy/core/event_sink.h"
+#include "proxy/handover/endpoint_list_exchange.h"
 #include "proxy/handover/handover_client.h"
 #include "proxy/handover/handover_server.h"
 #include "proxy/lifecycle/lifecycle.h"
@@ -49,7 +51,8 @@
 //   kRequested -- received or failed ------------------> kServing     (a successor may connect)
 //
 // A process without a predecessor begins in kServing. The predecessor serves for as long as this process
-// waits for discovery's list, since the list that this process was started with may be out of date.
+// waits for discovery's list, since the list that this process was started with may be out of date. Where
+// discovery does not answer, the predecessor's list comes with the listener.
 class HandoverCoordinator : private HandoverServer::Delegate, private HandoverClient::Observer {
  public:
   using ExportState = std::function<std::vector<BackendSnapshot>()>;
@@ -64,6 +67,7 @@
     const Lifecycle& lifecycle;
     const DescriptorBudget& budget;
     EndpointTable& endpoints;
+    EndpointListStore& endpoint_list;
     BackendPool& backends;
     EventSink& events;
   };
@@ -77,12 +81,14 @@
   // Takes over from a predecessor, by a call of StartAccepting, once discovery's list has arrived or the wait
   // for it has timed out. Returns false if there is no predecessor.
   bool TakeOverFromPredecessor();
-  // To be called for each list from discovery, once any list has named a backend.
-  void OnEndpointsReceived();
+  // To be called for each list from discovery that has been applied.
+  // @param serviceable whether any list has named a backend, so that this process could serve.
+  void OnDiscoveryList(std::uint64_t revision, bool serviceable);
   // To be called when this process accepts clients: a successor may then connect.
   void AwaitSuccessor();
-  // Reports to the successor, if any, how many descriptors this process uses.
-  void ReportDescriptors();
+  // Tells the other processes of this proxy, if any, what has changed in this one: the descriptors in use and
+  // the endpoint list. To be called regularly.
+  void SyncWithPeers();
   // To be called when the process shuts down: stops waiting to request the listener.
   void Cancel();
 
@@ -90,8 +96,10 @@
   enum class Phase { kServing, kWaitingForEndpoints, kRequested };
 
   std::optional<HandoverServer::Grant> OnListenerRequested() override;
+  void OnSuccessorEndpoints(const ReceivedMessage& message) override;
   void OnSuccessorExited() override;
 
+  void OnPredecessorEndpoints(const ReceivedMessage& message) override;
   void OnListenerReceived(OwnedDescriptor listener, const std::string& encoded_state) override;
   void OnHandoverFailed(HandoverError error) override;
   void OnDescriptorReport(const DescriptorReport& report) override;
@@ -111,6 +119,7 @@
   ExportState export_state_;
   Phase phase_ = Phase::kServing;
   boost::asio::steady_timer endpoints_timer_;
+  EndpointListExchange endpoint_lists_;
   std::unique_ptr<HandoverClient> predecessor_;
   std::unique_ptr<HandoverServer> successor_;
 };
--- a/src/proxy/handover/handover_messages.cpp
+++ b/src/proxy/handover/handover_messages.cpp
@@ -14,6 +14,7 @@
 
 constexpr const char* kDescriptors = "descriptors";
 constexpr const char* kBackends = "learnt";
+constexpr const char* kEndpointListFollows = "endpoint_list_follows";
 constexpr const char* kId = "id";
 constexpr const char* kEjectionMultiplier = "multiplier";
 constexpr const char* kEjectionRemainingMs = "ejected_ms";
@@ -45,7 +46,9 @@
                         {kEjectionRemainingMs, backend.ejection_remaining.count()},
                         {kSlowStartWorkMs, backend.slow_start_work}});
   }
-  return nlohmann::json{{kDescriptors, state.descriptors}, {kBackends, backends}}.dump();
+  nlohmann::json json{{kDescriptors, state.descriptors}, {kBackends, backends}};
+  if (state.endpoint_list_follows) json[kEndpointListFollows] = true;
+  return json.dump();
 }
 
 std::string EncodeDescriptorReport(const DescriptorReport& report) {
@@ -68,6 +71,13 @@
   return state;
 }
 
+bool EndpointListFollows(const std::string& text) {
+  const auto json = nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
+  if (!json.is_object()) return false;
+  const auto found = json.find(kEndpointListFollows);
+  return found != json.end() && found->is_boolean() && found->get<bool>();
+}
+
 std::optional<DescriptorReport> DecodeDescriptorReport(const std::string& text) {
   const auto json = nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
   if (!json.is_object()) return std::nullopt;
--- a/src/proxy/handover/handover_messages.h
+++ b/src/proxy/handover/handover_messages.h
@@ -6,6 +6,10 @@
 //   successor -> predecessor   "take ADDRESS:PORT", the request for the listening socket
 //   predecessor -> successor   HandoverState as JSON, with the listening socket beside it, once
 //   predecessor -> successor   DescriptorReport as JSON, repeatedly until it exits
+//   either -> the other        its endpoint list (endpoint_list_message.h): the predecessor's right after its
+//                              HandoverState, then those of both whenever they have changed
+//
+// A version that does not know the endpoint list neither announces nor sends it, and ignores it on arrival.
 #ifndef COPPERPOINT_PROXY_HANDOVER_HANDOVER_MESSAGES_H_
 #define COPPERPOINT_PROXY_HANDOVER_HANDOVER_MESSAGES_H_
 
@@ -30,6 +34,7 @@
 struct HandoverState {
   int descriptors = 0;  // file descriptors that the predecessor holds
   std::vector<BackendHandoverState> backends;
+  bool endpoint_list_follows = false;  // the next message is the predecessor's endpoint list
 };
 
 // How many file descriptors the predecessor holds now.
@@ -52,6 +57,8 @@
 // `is_known` returns whether this process has a backend of that id; entries of others are skipped undecoded.
 DecodedHandoverState DecodeHandoverState(const std::string& text,
                                          const std::function<bool(const std::string& id)>& is_known);
+// Returns whether the state announces the predecessor's endpoint list; false for a text that is not a state.
+bool EndpointListFollows(const std::string& text);
 // Returns nothing if the text is not a descriptor report.
 std::optional<DescriptorReport> DecodeDescriptorReport(const std::string& text);
 
--- a/src/proxy/handover/handover_server.cpp
+++ b/src/proxy/handover/handover_server.cpp
@@ -63,22 +63,26 @@
     if (failed == boost::asio::error::operation_aborted) return;
     ReceivedMessage message;
     const error_code received = failed ? failed : ReceiveMessage(socket_, &message);
-    message.descriptor = OwnedDescriptor();  // a successor sends none; one that has arrived is closed at once
     if (received && received != boost::asio::error::would_block) return OnConnectionEnded();
-    if (!received && !OnMessage(message.text)) return OnConnectionEnded();
+    if (!received && !OnMessage(message)) return OnConnectionEnded();
     WaitForMessage();
   });
 }
 
 // Returns false if the connection is to be closed.
-bool HandoverServer::OnMessage(const std::string& text) {
-  if (state_ == State::kHandedOver) return true;  // further messages of a successor are ignored
-  if (text != EncodeListenerRequest(listen_)) return false;
-  const auto grant = delegate_.OnListenerRequested();
+bool HandoverServer::OnMessage(const ReceivedMessage& message) {
+  if (state_ == State::kHandedOver) {  // messages of a later version are ignored
+    if (IsEndpointListMessage(message.text)) delegate_.OnSuccessorEndpoints(message);
+    return true;
+  }
+  if (message.text != EncodeListenerRequest(listen_)) return false;
+  auto grant = delegate_.OnListenerRequested();
   if (!grant) return false;
-  const std::string state = EncodeHandoverState(grant->state);
+  grant->state.endpoint_list_follows = grant->endpoint_list.has_value();
   state_ = State::kHandedOver;
-  return !SendMessage(socket_, state, grant->listener);
+  if (SendMessage(socket_, EncodeHandoverState(grant->state), grant->listener)) return false;
+  if (grant->endpoint_list) SendEndpointList(*grant->endpoint_list);
+  return true;
 }
 
 void HandoverServer::OnConnectionEnded() {
@@ -94,4 +98,12 @@
   if (state_ == State::kHandedOver && socket_.is_open()) SendMessage(socket_, EncodeDescriptorReport(report));
 }
 
+bool HandoverServer::CanSendEndpointList() {
+  return state_ == State::kHandedOver && socket_.is_open() && PeerHasReceivedAll(socket_);
+}
+
+bool HandoverServer::SendEndpointList(const EndpointListMessage& message) {
+  return !SendMessage(socket_, message.text, message.contents.get());
+}
+
 }  // namespace copperpoint::proxy
--- a/src/proxy/handover/handover_server.h
+++ b/src/proxy/handover/handover_server.h
@@ -10,6 +10,8 @@
 #include <optional>
 #include <string>
 
+#include "proxy/handover/endpoint_list_exchange.h"
+#include "proxy/handover/endpoint_list_message.h"
 #include "proxy/handover/handover_messages.h"
 #include "proxy/handover/message_socket.h"
 
@@ -21,17 +23,20 @@
 //   kHandedOver - the successor's connection ends -----------> kServing
 //
 // A request for another address, or one that the delegate refuses, closes the connection and changes nothing.
-class HandoverServer {
+class HandoverServer : public EndpointListChannel {
  public:
   struct Grant {
     int listener = OwnedDescriptor::kNone;  // owned by the delegate; the successor gets a copy
     HandoverState state;
+    std::optional<EndpointListMessage> endpoint_list;  // sent behind the state
   };
   class Delegate {
    public:
     virtual ~Delegate() = default;
     // Called when a successor is about to serve. Returns nothing if no listening socket is left to hand over.
     virtual std::optional<Grant> OnListenerRequested() = 0;
+    // Called when the successor has handed its endpoint list back.
+    virtual void OnSuccessorEndpoints(const ReceivedMessage& message) = 0;
     // Called when the successor has exited or closed its connection: this process serves alone again.
     virtual void OnSuccessorExited() = 0;
   };
@@ -41,12 +46,14 @@
   HandoverServer(boost::asio::io_context& io, std::string path, const boost::asio::ip::tcp::endpoint& listen,
                  Delegate& delegate);
   // Removes the socket from the directory unless a successor has taken over, which then owns the path.
-  ~HandoverServer();
+  ~HandoverServer() override;
   HandoverServer(const HandoverServer&) = delete;
   HandoverServer& operator=(const HandoverServer&) = delete;
 
   // Sends the report to the successor, if there is one.
   void SendReport(const DescriptorReport& report);
+  bool CanSendEndpointList() override;
+  bool SendEndpointList(const EndpointListMessage& message) override;
 
  private:
   enum class State { kServing, kHandedOver };
@@ -54,7 +61,7 @@
   void Listen();
   void Accept();
   void WaitForMessage();
-  bool OnMessage(const std::string& text);
+  bool OnMessage(const ReceivedMessage& message);
   void OnConnectionEnded();
 
   const std::string path_;
--- a/src/proxy/handover/message_socket.cpp
+++ b/src/proxy/handover/message_socket.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "proxy/handover/message_socket.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/un.h>
 #include <unistd.h>
 
@@ -84,6 +86,11 @@
   return {};
 }
 
+bool PeerHasReceivedAll(SeqPacketProtocol::socket& socket) {
+  int queued_bytes = 0;
+  return ::ioctl(socket.native_handle(), SIOCOUTQ, &queued_bytes) == 0 && queued_bytes == 0;
+}
+
 bool PeerIsSameUser(SeqPacketProtocol::socket& socket) {
   ucred peer{};
   socklen_t size = sizeof peer;
--- a/src/proxy/handover/message_socket.h
+++ b/src/proxy/handover/message_socket.h
@@ -64,6 +64,9 @@
 // closed, message_size if the message or its descriptors were cut off, otherwise that of the system.
 boost::system::error_code ReceiveMessage(SeqPacketProtocol::socket& socket, ReceivedMessage* message);
 
+// Returns whether the process at the other end has received every message sent to it.
+bool PeerHasReceivedAll(SeqPacketProtocol::socket& socket);
+
 // Returns whether the process at the other end runs as the same user as this one.
 bool PeerIsSameUser(SeqPacketProtocol::socket& socket);
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -69,11 +69,7 @@
       endpoints_({config_.zones, config_.kinds, config_.timeouts.removed_backend_retention}, clock_,
                  backends_, dispatcher_),
       discovery_(
-          io, DiscoveryOptions(config_),
-          [this](const EndpointList& list) {
-            OnEndpointList(list,
-                           list.complete ? EndpointUpdateKind::kSnapshot : EndpointUpdateKind::kIncremental);
-          },
+          io, DiscoveryOptions(config_), [this](const EndpointList& list) { OnDiscoveryList(list); },
           [this] {
             dispatcher_.Dispatch(EndpointUpdate{EndpointUpdateKind::kFailed, {}});
           }),
@@ -81,10 +77,10 @@
                 backends_, discovery_, dispatcher_),
       receiver_(clock_, requests_, backends_, dispatcher_),
       handover_(io, {StateFile(config_, "handover.sock"), config_.listen, config_.upgrade},
-                {*this, lifecycle_, budget_, endpoints_, backends_, dispatcher_},
+                {*this, lifecycle_, budget_, endpoints_, *this, backends_, dispatcher_},
                 [this] { return balancer_.ExportState(clock_.Now()); }) {
   dispatcher_.set_handler(&executor_);
-  OnEndpointList(config_.initial_endpoints, EndpointUpdateKind::kCached);
+  ApplyEndpointList(config_.initial_endpoints, EndpointUpdateKind::kCached);
   if (!config_.settings.polls_endpoints) discovery_.Watch();
   if (!handover_.TakeOverFromPredecessor()) StartAccepting(OwnedDescriptor::kNone);
   if (config_.admin_address) admin_ = std::make_unique<AdminServer>(io, *config_.admin_address, *this);
@@ -133,18 +129,27 @@
     ScheduleProcessSync();
     const EndpointList changes = disabled_.ReloadIfChanged();
     if (!changes.endpoints.empty()) endpoints_.Apply(changes, EndpointUpdateKind::kIncremental);
-    handover_.ReportDescriptors();
+    handover_.SyncWithPeers();
   });
 }
 
 // ---- endpoints ------------------------------------------------------------------------------------------
 
-void Proxy::OnEndpointList(const EndpointList& list, EndpointUpdateKind kind) {
-  endpoints_.Apply(disabled_.Apply(list, kind != EndpointUpdateKind::kIncremental), kind);
+void Proxy::OnDiscoveryList(const EndpointList& list) {
+  ApplyEndpointList(list, list.complete ? EndpointUpdateKind::kSnapshot : EndpointUpdateKind::kIncremental);
+  handover_.OnDiscoveryList(list.revision, has_endpoints_);
+}
+
+void Proxy::ApplyHandedOver(const EndpointList& list, Steady::time_point received_at) {
+  discovery_.AdoptList(list.revision, received_at);
+  ApplyEndpointList(list, EndpointUpdateKind::kHandedOver);
+}
+
+void Proxy::ApplyEndpointList(const EndpointList& list, EndpointUpdateKind kind) {
+  endpoints_.Apply(disabled_.Apply(list, ListsAllEndpoints(kind)), kind);
   has_endpoints_ |= !list.endpoints.empty();
   if (clients_ && has_endpoints_) lifecycle_.OnStarted();
   membership_.Publish(lifecycle_.state());
-  if (kind != EndpointUpdateKind::kCached && has_endpoints_) handover_.OnEndpointsReceived();
 }
 
 // ---- requests -------------------------------------------------------------------------------------------
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -43,7 +43,7 @@
 //
 // RequestTable holds the open requests, Lifecycle the state of the process; lifecycle.h describes what
 // SIGTERM does to requests in flight. All components run on the thread of the event loop.
-class Proxy : public RequestHandler, public AdminHandler, private ListenerOwner {
+class Proxy : public RequestHandler, public AdminHandler, private ListenerOwner, private EndpointListStore {
  public:
   // Starts to listen, or to take over from the process that listens already, and begins to follow discovery.
   // Throws ConfigError, or boost::system::system_error if it cannot listen.
@@ -86,12 +86,16 @@
   void ReclaimListener() override { clients_->ResumeAccepting(); }
   void SetClientLimit(std::size_t connections) override { clients_->SetConnectionLimit(connections); }
 
-  void OnEndpointList(const EndpointList& list, EndpointUpdateKind kind);
+  EndpointList ListedEndpoints() const override { return disabled_.ListedEndpoints(); }
+  void ApplyHandedOver(const EndpointList& list, Steady::time_point received_at) override;
+
+  void OnDiscoveryList(const EndpointList& list);
+  void ApplyEndpointList(const EndpointList& list, EndpointUpdateKind kind);
   AdminResult ApplyDisabledChange(DisabledBackends::ChangeResult result, const EndpointList& changes);
   // Passes the lifecycle's draining state to the client connections and the membership.
   void ApplyDraining();
   // Starts the periodic exchange with other processes of this proxy: reads the file of disabled backends, and
-  // reports the descriptors in use over the handover's connection.
+  // reports the descriptors in use and the endpoint list over the handover's connection.
   void ScheduleProcessSync();
 
   boost::asio::io_context& io_;
--- a/tests/decision/endpoint_poller_test.cpp
+++ b/tests/decision/endpoint_poller_test.cpp
@@ -46,5 +46,19 @@
   EXPECT_FALSE(poller.TakeDuePoll(now + Duration(1e6)));
 }
 
+// A list of the other process of this proxy arrives: a call that waits at discovery must not be made anew,
+// and one that is due must not be dropped.
+TEST(EndpointPoller, HandedOverListNeitherRepeatsNorEndsAPoll) {
+  Random random(7);
+  EndpointPoller poller{Duration(600000)};
+  const TimePoint now{Duration(1e9)};
+  poller.OnUpdate(EndpointUpdateKind::kCached, now, random);
+  poller.OnUpdate(EndpointUpdateKind::kHandedOver, now, random);
+  EXPECT_TRUE(poller.TakeDuePoll(now));
+  poller.OnUpdate(EndpointUpdateKind::kHandedOver, now, random);
+  EXPECT_FALSE(poller.TakeDuePoll(now + Duration(1000)));
+  EXPECT_TRUE(poller.TakeDuePoll(now + Duration(5000)));
+}
+
 }  // namespace
 }  // namespace copperpoint
