Keep polling discovery after an operator's change during an outage

Where discovery has to be polled (registryMode "ask", as on the main site), a call to disable or enable a backend, or one at the other process of an upgrade, reached the decision module as kIncremental, an update from the watch. EndpointPoller took it for the end of the failure and dropped the poll that was due: the proxy never called discovery again, and sent requests to backends that drain or have gone for good.

Such changes now have a kind of their own, kOperator, which leaves the polls alone, as kHandedOver does.

The tests of UpgradeEndpoints now play both modes of discovery.

--- a/include/copperpoint/balancer.h
+++ b/include/copperpoint/balancer.h
@@ -100,7 +100,9 @@
   kSnapshot,     // all endpoints; a backend that isn't among them is removed
   kCached,       // all endpoints as they were before this process started; may be out of date
   kFailed,       // the poll or watch failed; no endpoints
-  kHandedOver,   // all endpoints, from the other process of this proxy; says nothing about the poll or watch
+  // These two say nothing about the poll or watch.
+  kHandedOver,  // all endpoints, from the other process of this proxy
+  kOperator,    // only the endpoints that an operator has disabled or enabled
 };
 
 // Returns whether an update of this kind names every endpoint, so that a backend it does not name is removed.
--- a/src/decision/endpoint_poller.h
+++ b/src/decision/endpoint_poller.h
@@ -20,17 +20,25 @@
   // `max_interval`: Settings::max_poll_interval.
   explicit EndpointPoller(Duration max_interval) : max_interval_(max_interval) {}
 
-  // Handles the result of a poll or a watch. kCached is the list that a process starts with. kHandedOver
-  // comes from elsewhere: a poll that is due or waits for its answer stays as it is.
+  // Handles the result of a poll or a watch. kCached is the list that a process starts with. Updates that
+  // come from elsewhere leave a poll that is due, or waits for its answer, as it is.
   void OnUpdate(EndpointUpdateKind kind, TimePoint now, Random& random) {
-    if (kind == EndpointUpdateKind::kCached) {
-      next_poll_at_ = now;
-    } else if (kind == EndpointUpdateKind::kFailed) {
-      backoff_ = std::min({max_interval_ / 4, kMaxBackoff, std::max(max_interval_ / 20, backoff_ * 2)});
-      next_poll_at_ = now + backoff_ * (0.5 + 0.5 * random.Unit());
-    } else if (kind != EndpointUpdateKind::kHandedOver) {
-      backoff_ = Duration(0);
-      next_poll_at_ = kNever;
+    switch (kind) {
+      case EndpointUpdateKind::kCached:
+        next_poll_at_ = now;
+        return;
+      case EndpointUpdateKind::kFailed:
+        backoff_ = std::min({max_interval_ / 4, kMaxBackoff, std::max(max_interval_ / 20, backoff_ * 2)});
+        next_poll_at_ = now + backoff_ * (0.5 + 0.5 * random.Unit());
+        return;
+      case EndpointUpdateKind::kIncremental:
+      case EndpointUpdateKind::kSnapshot:
+        backoff_ = Duration(0);
+        next_poll_at_ = kNever;
+        return;
+      case EndpointUpdateKind::kHandedOver:
+      case EndpointUpdateKind::kOperator:
+        return;
     }
   }
 
--- a/src/decision/endpoint_set.cpp
+++ b/src/decision/endpoint_set.cpp
@@ -81,7 +81,7 @@
 
 void EndpointSet::UpdateRing(const EndpointUpdate& update) {
   const auto id_of = [this](BackendIndex index) { return backends_[index].endpoint.backend; };
-  if (update.kind == EndpointUpdateKind::kIncremental && update.endpoints.size() <= kMaxRingInsertions) {
+  if (!ListsAllEndpoints(update.kind) && update.endpoints.size() <= kMaxRingInsertions) {
     for (const Endpoint& endpoint : update.endpoints) ring_.Insert(index_[endpoint.backend], id_of);
   } else {
     ring_.Rebuild(backends_.size(), id_of);
--- a/src/decision/log_names.h
+++ b/src/decision/log_names.h
@@ -19,7 +19,8 @@
 }
 
 inline const char* LogName(EndpointUpdateKind kind) {
-  static constexpr const char* kNames[] = {"incremental", "snapshot", "cached", "failed", "handed_over"};
+  static constexpr const char* kNames[] = {"incremental", "snapshot",    "cached",
+                                           "failed",      "handed_over", "operator"};
   return kNames[static_cast<std::size_t>(kind)];
 }
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -128,7 +128,7 @@
     if (cancelled) return;
     ScheduleProcessSync();
     const EndpointList changes = disabled_.ReloadIfChanged();
-    if (!changes.endpoints.empty()) endpoints_.Apply(changes, EndpointUpdateKind::kIncremental);
+    if (!changes.endpoints.empty()) endpoints_.Apply(changes, EndpointUpdateKind::kOperator);
     handover_.SyncWithPeers();
   });
 }
@@ -178,7 +178,7 @@
                                                      const EndpointList& changes) {
   if (result == DisabledBackends::ChangeResult::kUnknownBackend) return AdminResult::kUnknownBackend;
   if (result == DisabledBackends::ChangeResult::kNotStored) return AdminResult::kNotStored;
-  if (!changes.endpoints.empty()) endpoints_.Apply(changes, EndpointUpdateKind::kIncremental);
+  if (!changes.endpoints.empty()) endpoints_.Apply(changes, EndpointUpdateKind::kOperator);
   return AdminResult::kDone;
 }
 
--- a/tests/decision/endpoint_poller_test.cpp
+++ b/tests/decision/endpoint_poller_test.cpp
@@ -60,5 +60,19 @@
   EXPECT_TRUE(poller.TakeDuePoll(now + Duration(5000)));
 }
 
+// An operator disables a backend while a poll is due after a failure.
+TEST(EndpointPoller, OperatorsChangeDoesNotEndThePolls) {
+  Random random(7);
+  EndpointPoller poller{Duration(10000)};
+  const TimePoint now{Duration(1e9)};
+  poller.OnUpdate(EndpointUpdateKind::kFailed, now, random);
+  const TimePoint due = poller.next_poll_at();
+  poller.OnUpdate(EndpointUpdateKind::kOperator, now, random);
+  EXPECT_EQ(poller.next_poll_at(), due);
+  poller.OnUpdate(EndpointUpdateKind::kFailed, now, random);
+  EXPECT_GT(poller.next_poll_at() - now, Duration(500)) << "the backoff goes on";
+  EXPECT_TRUE(poller.TakeDuePoll(poller.next_poll_at()));
+}
+
 }  // namespace
 }  // namespace copperpoint
--- a/tests/proxy/endpoint_list_test.cpp
+++ b/tests/proxy/endpoint_list_test.cpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "support/scripted.h"
+#include "support/scripted_discovery.h"
 
 namespace copperpoint::testing {
 namespace {
@@ -94,5 +95,35 @@
   EXPECT_TRUE(setup.proxy->WaitUntil([](proxy::Proxy& p) { return p.backend_connections() == 1; }));
 }
 
+// A backend is disabled while the proxy waits to call discovery again: the change was taken for discovery's
+// answer, and the proxy never called again.
+TEST(EndpointLists, DisablingABackendDuringAnOutageDoesNotEndTheCallsToDiscovery) {
+  Backend one("one"), two("two");
+  WaitableValue<bool> rejected;
+  ScriptedDiscovery discovery({[&](Tcp::socket& socket) {
+                                 SendRaw(socket, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+                                 ReadToEnd(socket);  // up to the proxy's close, when it waits
+                                 rejected.Update([](bool& done) { done = true; });
+                               },
+                               [&](Tcp::socket& socket) {
+                                 ScriptedDiscovery::Open(socket);
+                                 SendRaw(socket, Chunk(List(42, Members(MemberJson("s-1", one.address()),
+                                                                        MemberJson("s-2", two.address()))) +
+                                                       "\n"));
+                                 ReadToEnd(socket);
+                               }});
+  ProxySetup setup(Members(MemberJson("s-1", one.address())));
+  setup.config["discovery"] = "127.0.0.1:" + std::to_string(discovery.address().port());
+  setup.config["settings"]["registryMode"] = "ask";
+  setup.config["settings"]["rules"]["mustAskInMs"] = 10000.0;
+  setup.Start();
+  ASSERT_TRUE(rejected.WaitFor([](bool done) { return done; }));
+  setup.proxy->RunOnEventLoop([](proxy::Proxy& p) { return p.Disable("s-1"); });
+  ASSERT_TRUE(discovery.WaitForCalls(2));
+  ASSERT_TRUE(setup.proxy->WaitUntil([](proxy::Proxy& p) { return p.backends_known() == 2; }));
+  Client client(setup.proxy->address);
+  EXPECT_EQ(client.SendAndRead(LookRequest()).body(), "two") << "the backend stays disabled";
+}
+
 }  // namespace
 }  // namespace copperpoint::testing
--- a/tests/proxy/upgrade_endpoints_test.cpp
+++ b/tests/proxy/upgrade_endpoints_test.cpp
@@ -34,8 +34,9 @@
   return true;
 }
 
-// A proxy that was started with a list of revision 41: s-1 and s-2, and s-0, which has gone since.
-struct UpgradeEndpoints : ::testing::Test {
+// A proxy that was started with a list of revision 41: s-1 and s-2, and s-0, which has gone since. The
+// parameter says whether discovery has to be polled.
+struct UpgradeEndpoints : ::testing::TestWithParam<bool> {
   std::map<std::string, std::string> Environment(const Tcp::endpoint& calls, const Tcp::endpoint& discovery) {
     return {{"ROUTER_CONFIG", file.path},
             {"ROUTER_LISTEN", AddressText(address)},
@@ -43,6 +44,13 @@
             {"ROUTER_DISCOVERY", AddressText(discovery)},
             {"TMPDIR", folder.path}};
   }
+  nlohmann::json Configuration() {
+    nlohmann::json config = ConfigJson(first_discovery.address(), known);
+    if (!GetParam()) return config;
+    config["settings"]["registryMode"] = "ask";
+    config["settings"]["rules"]["mustAskInMs"] = 10000.0;
+    return config;
+  }
   // Starts the first process and lets discovery tell it `list`, which names s-9, a marker that only drains.
   void StartFirst(const nlohmann::json& list) {
     first = std::make_unique<ProxyProcess>(Environment(first_calls, first_discovery.address()));
@@ -85,14 +93,14 @@
   Tcp::endpoint address = ReservePort(), first_calls = ReservePort(), next_calls = ReservePort();
   std::vector<nlohmann::json> known = Members(
       MemberJson("s-0", gone.address()), MemberJson("s-1", one.address()), MemberJson("s-2", two.address()));
-  ConfigFile file{ConfigJson(first_discovery.address(), known).dump()};
+  ConfigFile file{Configuration().dump()};
   std::unique_ptr<ProxyProcess> first, next;
   std::size_t next_id = 0;
 };
 
 // Review case 7: discovery is down while the process is replaced, and the new one used the list of its
 // configuration, in which backends that drain or have gone are in service.
-TEST_F(UpgradeEndpoints, SuccessorObeysWhatItsPredecessorWasTold) {
+TEST_P(UpgradeEndpoints, SuccessorObeysWhatItsPredecessorWasTold) {
   StartFirst(ListWithDrain());
   StartNext();
   ASSERT_TRUE(WaitUntilReady(next_calls));
@@ -114,7 +122,7 @@
 }
 
 // The successor's call waits at discovery, while the predecessor's watch still delivers.
-TEST_F(UpgradeEndpoints, SuccessorObeysWhatItsPredecessorIsToldAfterTheHandover) {
+TEST_P(UpgradeEndpoints, SuccessorObeysWhatItsPredecessorIsToldAfterTheHandover) {
   StartFirst(ListWithDrain());
   StartNext();
   ASSERT_TRUE(WaitUntilReady(next_calls));
@@ -128,7 +136,7 @@
 }
 
 // The predecessor still serves the connections that it has.
-TEST_F(UpgradeEndpoints, PredecessorObeysWhatItsSuccessorIsTold) {
+TEST_P(UpgradeEndpoints, PredecessorObeysWhatItsSuccessorIsTold) {
   StartFirst(ListWithDrain());
   Client kept(address);
   EXPECT_EQ(kept.SendAndRead(LookRequest()).body(), "two");
@@ -144,7 +152,7 @@
 }
 
 // What is newer wins, wherever it comes from: discovery has told the successor more than its predecessor.
-TEST_F(UpgradeEndpoints, SuccessorsOwnAnswerIsNotReplacedByAnOlderList) {
+TEST_P(UpgradeEndpoints, SuccessorsOwnAnswerIsNotReplacedByAnOlderList) {
   StartFirst(ListWithDrain());
   StartNext();
   next_discovery.Push(
@@ -165,7 +173,7 @@
 }
 
 // Discovery restarts, counts anew, and the predecessor hears from it first.
-TEST_F(UpgradeEndpoints, SuccessorFollowsItsPredecessorToADiscoveryThatCountsAnew) {
+TEST_P(UpgradeEndpoints, SuccessorFollowsItsPredecessorToADiscoveryThatCountsAnew) {
   StartFirst(ListWithDrain());
   StartNext();
   ASSERT_TRUE(WaitUntilReady(next_calls));
@@ -182,7 +190,7 @@
 }
 
 // Three processes in a row, and discovery answers only the first.
-TEST_F(UpgradeEndpoints, ListPassesThroughSuccessorsThatDiscoveryDoesNotAnswer) {
+TEST_P(UpgradeEndpoints, ListPassesThroughSuccessorsThatDiscoveryDoesNotAnswer) {
   StartFirst(ListWithDrain());
   StartNext();
   ASSERT_TRUE(WaitUntilReady(next_calls));
@@ -196,5 +204,8 @@
   ExpectExitAtSigterm(third);
 }
 
+INSTANTIATE_TEST_SUITE_P(Discovery, UpgradeEndpoints, ::testing::Bool(),
+                         [](const auto& info) { return info.param ? "Polled" : "Pushed"; });
+
 }  // namespace
 }  // namespace copperpoint::testing
