Tell the process that replaces this one where a reload has moved discovery

After SIGHUP had moved discovery, a process that was started with the environment of the first start called the first address for good, and heard nothing more once its predecessor had left. By the same rule as for the list, the two processes count as one: the proxy has been told where discovery is.

The predecessor sends the address and the time of its last reload. The latest configuration wins: a reload of the successor itself, else its file if it was read after the predecessor's reload, else the predecessor's address. Without a reload the environment stands, as before. Older programs ignore the message. The text of an address is formatted in one place; the stand-in WatchWith is one for three tests.

Measured: SuccessorFollowsDiscoveryToTheAddressOfAReload fails in both modes of discovery without the message (no call to the new address in 30 s), and passes with it. SuccessorFollowsItsEnvironmentWithoutAReload shows what stays.

--- a/src/log/event_names.h
+++ b/src/log/event_names.h
@@ -41,6 +41,7 @@
 inline constexpr std::string_view kUpgradeListenerReceived = "upgrade_listener_received";
 inline constexpr std::string_view kUpgradeListenerHandedOver = "upgrade_listener_handed_over";
 inline constexpr std::string_view kUpgradeListensAlongside = "upgrade_listens_alongside";
+inline constexpr std::string_view kUpgradeDiscoveryMoved = "upgrade_discovery_moved";
 inline constexpr std::string_view kUpgradeEndpointsReceived = "upgrade_endpoints_received";
 inline constexpr std::string_view kUpgradeEndpointsNotSent = "upgrade_endpoints_not_sent";
 inline constexpr std::string_view kUpgradePredecessorExited = "upgrade_predecessor_exited";
--- a/src/proxy/config/config.h
+++ b/src/proxy/config/config.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "copperpoint/balancer.h"
+#include "proxy/clock.h"
 #include "proxy/config/operator_settings.h"
 #include "proxy/discovery/endpoints.h"
 
@@ -20,6 +21,9 @@
   // ---- from the platform: config_reader.h ----
   std::string name;
   boost::asio::ip::tcp::endpoint listen, discovery;
+  // The file's address of discovery, which goes before the environment's once a reload has moved discovery.
+  std::optional<boost::asio::ip::tcp::endpoint> discovery_in_file;
+  Steady::time_point file_read_at{};                            // just before the file was opened
   std::optional<boost::asio::ip::tcp::endpoint> admin_address;  // nothing: no admin interface
   std::string state_directory;  // private to this proxy's processes; empty: nothing is stored
   std::uint64_t seed = 0;
--- a/src/proxy/config/config_reader.cpp
+++ b/src/proxy/config/config_reader.cpp
@@ -35,6 +35,13 @@
   return *endpoint;
 }
 
+// Returns nothing if the file has no valid address: it is not needed where the environment has one.
+std::optional<Tcp::endpoint> DiscoveryInFile(const JsonObject& root) {
+  const json* field = root.Find("discovery");
+  if (!field || !field->is_string()) return std::nullopt;
+  return ParseHostPort(field->get<std::string>());
+}
+
 std::uint64_t ReadSeed(const JsonObject& root) {
   const json* field = root.Find("seed");
   if (!field)
@@ -95,6 +102,7 @@
   config.name = IsSet(name) ? name : root.Text("name", "");
   config.listen = ReadAddress(env("ROUTER_LISTEN"), root, "listen");
   config.discovery = ReadAddress(env("ROUTER_DISCOVERY"), root, "discovery");
+  config.discovery_in_file = DiscoveryInFile(root);
   const char* admin_address = env("ROUTER_OPERATOR");
   if (IsSet(admin_address) || root.Find("operator"))
     config.admin_address = ReadAddress(admin_address, root, "operator");
@@ -136,11 +144,14 @@
   const char* path = env("ROUTER_CONFIG");
   if (!IsSet(path))
     throw ConfigError(Kind::kMissing, {}, "ROUTER_CONFIG is not set; it must name the configuration file");
+  const Steady::time_point read_at = Steady::now();
   std::ifstream file(path, std::ios::binary);
   if (!file) throw ConfigError(Kind::kUnreadableFile, {}, "cannot read ROUTER_CONFIG: " + std::string(path));
   const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
   try {
-    return ParseConfig(text, env);
+    Config config = ParseConfig(text, env);
+    config.file_read_at = read_at;
+    return config;
   } catch (const ConfigError& error) {
     throw error.InFile(path);
   }
--- a/src/proxy/discovery/endpoints.cpp
+++ b/src/proxy/discovery/endpoints.cpp
@@ -36,12 +36,6 @@
   return "terminated";
 }
 
-std::string HostPort(const Tcp::endpoint& address) {
-  std::ostringstream text;
-  text << address;
-  return text.str();
-}
-
 // Sets `fault` to the last fault of the entry. Throws json::exception if a required field is absent or a
 // field is of another type.
 DiscoveredEndpoint ReadEndpoint(const json& entry, std::optional<ErrorKind>* fault) {
@@ -141,7 +135,7 @@
   json members = json::array();
   for (const DiscoveredEndpoint& endpoint : list.endpoints) {
     members.push_back({{"id", endpoint.id},
-                       {"host_port", HostPort(endpoint.address)},
+                       {"host_port", FormatHostPort(endpoint.address)},
                        {"locality", endpoint.zone},
                        {"flavor", endpoint.kind},
                        {"cell", endpoint.cell},
@@ -153,6 +147,12 @@
       .dump();
 }
 
+std::string FormatHostPort(const Tcp::endpoint& address) {
+  std::ostringstream text;
+  text << address;
+  return text.str();
+}
+
 std::optional<Tcp::endpoint> ParseHostPort(std::string_view text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos || colon == 0) return std::nullopt;
--- a/src/proxy/discovery/endpoints.h
+++ b/src/proxy/discovery/endpoints.h
@@ -64,6 +64,8 @@
 
 // Parses "a.b.c.d:port" or "[v6]:port"; returns nothing if the text is not an address.
 std::optional<boost::asio::ip::tcp::endpoint> ParseHostPort(std::string_view text);
+// Returns the text of the address that ParseHostPort reads.
+std::string FormatHostPort(const boost::asio::ip::tcp::endpoint& address);
 
 // Returns the FNV-1a hash, which is the same in every proxy and every build; std::hash does not promise that.
 std::uint64_t StableHash(std::string_view text);
--- a/src/proxy/handover/endpoint_list_message.cpp
+++ b/src/proxy/handover/endpoint_list_message.cpp
@@ -1,13 +1,12 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "proxy/handover/endpoint_list_message.h"
 
-#include <chrono>
-#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string_view>
 #include <utility>
 
 #include "proxy/handover/sealed_memory.h"
+#include "proxy/handover/steady_time_json.h"
 
 namespace copperpoint::proxy {
 namespace {
@@ -17,16 +16,6 @@
 constexpr const char* kEndpointList = "endpoint_list";
 constexpr const char* kReceivedAtNs = "received_at_ns";  // on the steady clock
 
-// Returns nothing if the header has no such time, or one that is still to come.
-std::optional<Steady::time_point> ReceivedAt(const json& header) {
-  if (!header.is_object()) return std::nullopt;
-  const auto found = header.find(kReceivedAtNs);
-  if (found == header.end() || !found->is_number_integer()) return std::nullopt;
-  const Steady::time_point at{std::chrono::nanoseconds(found->get<std::int64_t>())};
-  if (at < Steady::time_point{} || at > Steady::now()) return std::nullopt;
-  return at;
-}
-
 }  // namespace
 
 std::optional<EndpointListMessage> EncodeEndpointListMessage(const HandedOverEndpoints& endpoints) {
@@ -34,8 +23,7 @@
   if (list.size() > kMaxEndpointListBytes) return std::nullopt;
   OwnedDescriptor contents = CreateSealedMemory(list);
   if (contents.get() == OwnedDescriptor::kNone) return std::nullopt;
-  const std::chrono::nanoseconds received_at = endpoints.received_at.time_since_epoch();
-  const json header{{kEndpointList, {{kReceivedAtNs, received_at.count()}}}};
+  const json header{{kEndpointList, {{kReceivedAtNs, EncodeSteadyTime(endpoints.received_at)}}}};
   return EndpointListMessage{header.dump(), std::move(contents)};
 }
 
@@ -47,8 +35,8 @@
 std::optional<HandedOverEndpoints> DecodeEndpointListMessage(const ReceivedMessage& message,
                                                              std::string* error) {
   const json parsed = json::parse(message.text, nullptr, /*allow_exceptions=*/false);
-  const auto received_at =
-      parsed.is_object() ? ReceivedAt(parsed.value(kEndpointList, json())) : std::nullopt;
+  const json header = parsed.is_object() ? parsed.value(kEndpointList, json()) : json();
+  const auto received_at = DecodePastSteadyTime(header, kReceivedAtNs);
   if (!received_at) {
     *error = "endpoint list: received_at_ns must be a past time of the steady clock in nanoseconds";
     return std::nullopt;
--- a/src/proxy/handover/handover_client.cpp
+++ b/src/proxy/handover/handover_client.cpp
@@ -83,6 +83,8 @@
     observer_.OnPredecessorEndpoints(message);
     return CompleteHandover();
   }
+  if (const auto reload = DecodeDiscoveryReload(message.text))
+    return observer_.OnPredecessorReloaded(*reload);
   if (state_ != State::kReceived) return;
   if (const auto report = DecodeDescriptorReport(message.text)) observer_.OnDescriptorReport(*report);
 }
--- a/src/proxy/handover/handover_client.h
+++ b/src/proxy/handover/handover_client.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 
+#include "proxy/handover/discovery_reload_message.h"
 #include "proxy/handover/endpoint_list_exchange.h"
 #include "proxy/handover/endpoint_list_message.h"
 #include "proxy/handover/handover_messages.h"
@@ -46,6 +47,8 @@
     virtual void OnHandoverFailed(HandoverError error) = 0;
     // Called for each endpoint list of the predecessor: before OnListenerReceived if it arrives in time.
     virtual void OnPredecessorEndpoints(const ReceivedMessage& message) = 0;
+    // Called when a reload has moved the predecessor's discovery.
+    virtual void OnPredecessorReloaded(const DiscoveryReload& reload) = 0;
     // Called only after OnListenerReceived, as is OnPredecessorExited.
     virtual void OnDescriptorReport(const DescriptorReport& report) = 0;
     virtual void OnPredecessorExited() = 0;
--- a/src/proxy/handover/handover_coordinator.cpp
+++ b/src/proxy/handover/handover_coordinator.cpp
@@ -57,6 +57,10 @@
   endpoint_lists_.OnMessage(HandoverPeer::kPredecessor, message);
 }
 
+void HandoverCoordinator::OnPredecessorReloaded(const DiscoveryReload& reload) {
+  context_.discovery.OnPredecessorReload(reload);
+}
+
 void HandoverCoordinator::OnListenerReceived(OwnedDescriptor listener, const std::string& encoded_state) {
   if (context_.lifecycle.shutting_down()) return;
   log::Global().Info(log::events::kUpgradeListenerReceived);
@@ -122,6 +126,7 @@
   // Limits backend connections to those open now, but to one at least, so that open requests can be retried.
   context_.backends.SetConnectionLimit(std::max<std::size_t>(context_.backends.connection_count(), 1));
   endpoint_lists_.OnPeerReplaced(HandoverPeer::kSuccessor);
+  reload_shared_.reset();
   return HandoverServer::Grant{*listener, HandoverState{DescriptorsInUse(), ExportBackends()},
                                endpoint_lists_.Encode()};
 }
@@ -141,9 +146,16 @@
   if (predecessor_) endpoint_lists_.Share(HandoverPeer::kPredecessor, *predecessor_);
   if (!successor_) return;
   endpoint_lists_.Share(HandoverPeer::kSuccessor, *successor_);
+  ShareDiscoveryReload();
   successor_->SendReport({DescriptorsInUse()});
 }
 
+void HandoverCoordinator::ShareDiscoveryReload() {
+  const auto reload = context_.discovery.last_reload();
+  if (!reload || reload_shared_ == reload->reloaded_at) return;
+  if (successor_->SendDiscoveryReload(*reload)) reload_shared_ = reload->reloaded_at;
+}
+
 int HandoverCoordinator::DescriptorsInUse() const {
   return context_.budget.InUse(context_.listener.client_connections(), context_.backends.connection_count());
 }
--- a/src/proxy/handover/handover_coordinator.h
+++ b/src/proxy/handover/handover_coordinator.h
@@ -18,10 +18,12 @@
 #include <vector>
 
 #include "copperpoint/balancer.h"
+#include "proxy/clock.h"
 #include "proxy/config/operator_settings.h"
 #include "proxy/core/descriptor_budget.h"
 #include "proxy/core/endpoint_table.h"
 #include "proxy/core/event_sink.h"
+#include "proxy/handover/discovery_reload_message.h"
 #include "proxy/handover/endpoint_list_exchange.h"
 #include "proxy/handover/handover_client.h"
 #include "proxy/handover/handover_server.h"
@@ -45,6 +47,16 @@
   virtual std::size_t client_connections() const = 0;
 };
 
+// Where this process finds discovery.
+class DiscoveryLocator {
+ public:
+  virtual ~DiscoveryLocator() = default;
+  // @return the reload that has set discovery's address; nullopt: the address is that of the start.
+  virtual std::optional<DiscoveryReload> last_reload() const = 0;
+  // To be called when the other process was reloaded. Moves discovery unless this process knows better.
+  virtual void OnPredecessorReload(const DiscoveryReload& reload) = 0;
+};
+
 // Owns the connections to the predecessor and to the successor, and the phase of this process between them:
 //
 //   kWaitingForEndpoints -- endpoint list or timeout --> kRequested   (asks for the listener)
@@ -68,6 +80,7 @@
     const DescriptorBudget& budget;
     EndpointTable& endpoints;
     EndpointListStore& endpoint_list;
+    DiscoveryLocator& discovery;
     BackendPool& backends;
     EventSink& events;
   };
@@ -86,8 +99,8 @@
   void OnDiscoveryList(std::uint64_t revision, bool serviceable);
   // To be called when this process accepts clients: a successor may then connect.
   void AwaitSuccessor();
-  // Tells the other processes of this proxy, if any, what has changed in this one: the descriptors in use and
-  // the endpoint list. To be called regularly.
+  // Tells the other processes of this proxy, if any, what has changed in this one: the descriptors in use,
+  // the endpoint list and the address of discovery. To be called regularly.
   void SyncWithPeers();
   // To be called when the process shuts down: stops waiting to request the listener.
   void Cancel();
@@ -100,11 +113,13 @@
   void OnSuccessorExited() override;
 
   void OnPredecessorEndpoints(const ReceivedMessage& message) override;
+  void OnPredecessorReloaded(const DiscoveryReload& reload) override;
   void OnListenerReceived(OwnedDescriptor listener, const std::string& encoded_state) override;
   void OnHandoverFailed(HandoverError error) override;
   void OnDescriptorReport(const DescriptorReport& report) override;
   void OnPredecessorExited() override;
 
+  void ShareDiscoveryReload();
   void RequestListenerAfter(std::chrono::milliseconds wait);
   void RequestListener();
   void StartAccepting(int listener);
@@ -122,6 +137,7 @@
   EndpointListExchange endpoint_lists_;
   std::unique_ptr<HandoverClient> predecessor_;
   std::unique_ptr<HandoverServer> successor_;
+  std::optional<Steady::time_point> reload_shared_;  // time of the reload that the successor has been told
 };
 
 }  // namespace copperpoint::proxy
--- a/src/proxy/handover/handover_messages.cpp
+++ b/src/proxy/handover/handover_messages.cpp
@@ -3,9 +3,10 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <sstream>
 #include <utility>
 
+#include "proxy/discovery/endpoints.h"
+
 namespace copperpoint::proxy {
 namespace {
 
@@ -33,9 +34,7 @@
 }  // namespace
 
 std::string EncodeListenerRequest(const boost::asio::ip::tcp::endpoint& listen) {
-  std::ostringstream text;
-  text << "take " << listen;
-  return text.str();
+  return "take " + FormatHostPort(listen);
 }
 
 std::string EncodeHandoverState(const HandoverState& state) {
--- a/src/proxy/handover/handover_messages.h
+++ b/src/proxy/handover/handover_messages.h
@@ -8,8 +8,9 @@
 //   predecessor -> successor   DescriptorReport as JSON, repeatedly until it exits
 //   either -> the other        its endpoint list (endpoint_list_message.h): the predecessor's right after its
 //                              HandoverState, then those of both whenever they have changed
+//   predecessor -> successor   the address that a reload has moved discovery to (discovery_reload_message.h)
 //
-// A version that does not know the endpoint list neither announces nor sends it, and ignores it on arrival.
+// A version that does not know the last two neither announces nor sends them, and ignores them on arrival.
 #ifndef COPPERPOINT_PROXY_HANDOVER_HANDOVER_MESSAGES_H_
 #define COPPERPOINT_PROXY_HANDOVER_HANDOVER_MESSAGES_H_
 
--- a/src/proxy/handover/handover_server.cpp
+++ b/src/proxy/handover/handover_server.cpp
@@ -95,13 +95,15 @@
 }
 
 void HandoverServer::SendReport(const DescriptorReport& report) {
-  if (state_ == State::kHandedOver && socket_.is_open()) SendMessage(socket_, EncodeDescriptorReport(report));
+  if (has_successor()) SendMessage(socket_, EncodeDescriptorReport(report));
 }
 
-bool HandoverServer::CanSendEndpointList() {
-  return state_ == State::kHandedOver && socket_.is_open() && PeerHasReceivedAll(socket_);
+bool HandoverServer::SendDiscoveryReload(const DiscoveryReload& reload) {
+  return has_successor() && !SendMessage(socket_, EncodeDiscoveryReload(reload));
 }
 
+bool HandoverServer::CanSendEndpointList() { return has_successor() && PeerHasReceivedAll(socket_); }
+
 bool HandoverServer::SendEndpointList(const EndpointListMessage& message) {
   return !SendMessage(socket_, message.text, message.contents.get());
 }
--- a/src/proxy/handover/handover_server.h
+++ b/src/proxy/handover/handover_server.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 
+#include "proxy/handover/discovery_reload_message.h"
 #include "proxy/handover/endpoint_list_exchange.h"
 #include "proxy/handover/endpoint_list_message.h"
 #include "proxy/handover/handover_messages.h"
@@ -52,12 +53,15 @@
 
   // Sends the report to the successor, if there is one.
   void SendReport(const DescriptorReport& report);
+  // Returns false if there is no successor, or the message was not sent.
+  bool SendDiscoveryReload(const DiscoveryReload& reload);
   bool CanSendEndpointList() override;
   bool SendEndpointList(const EndpointListMessage& message) override;
 
  private:
   enum class State { kServing, kHandedOver };
 
+  bool has_successor() const { return state_ == State::kHandedOver && socket_.is_open(); }
   void Listen();
   void Accept();
   void WaitForMessage();
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "log/event_names.h"
 #include "log/log.h"
 #include "proxy/lifecycle/shutdown_time.h"
 
@@ -77,7 +78,7 @@
                 backends_, discovery_, dispatcher_),
       receiver_(clock_, requests_, backends_, dispatcher_),
       handover_(io, {StateFile(config_, "handover.sock"), config_.listen, config_.upgrade},
-                {*this, lifecycle_, budget_, endpoints_, *this, backends_, dispatcher_},
+                {*this, lifecycle_, budget_, endpoints_, *this, *this, backends_, dispatcher_},
                 [this] { return balancer_.ExportState(clock_.Now()); }) {
   dispatcher_.set_handler(&executor_);
   ApplyEndpointList(config_.initial_endpoints, EndpointUpdateKind::kCached);
@@ -98,9 +99,22 @@
   config_.timeouts = config.timeouts;
   backends_.SetTimeouts(config.timeouts);
   endpoints_.set_removed_retention(config.timeouts.removed_backend_retention);
+  last_reload_ = DiscoveryReload{config.discovery, Steady::now()};
   discovery_.Reload(config.discovery);
 }
 
+// The latest configuration wins. A file that this process has read after the predecessor's reload is later;
+// its address then goes before the environment's, as it does at a reload.
+void Proxy::OnPredecessorReload(const DiscoveryReload& reload) {
+  if (last_reload_ && last_reload_->reloaded_at >= reload.reloaded_at) return;
+  last_reload_ = reload;
+  if (config_.file_read_at > reload.reloaded_at && config_.discovery_in_file)
+    last_reload_->address = *config_.discovery_in_file;
+  log::Global().Info(log::events::kUpgradeDiscoveryMoved,
+                     {{"address", FormatHostPort(last_reload_->address)}});
+  discovery_.Reload(last_reload_->address);
+}
+
 void Proxy::Stop(std::function<void()> done) {
   const auto now = Steady::now();
   const auto after = [now](Duration time) { return now + std::chrono::ceil<Steady::duration>(time); };
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -43,7 +43,11 @@
 //
 // RequestTable holds the open requests, Lifecycle the state of the process; lifecycle.h describes what
 // SIGTERM does to requests in flight. All components run on the thread of the event loop.
-class Proxy : public RequestHandler, public AdminHandler, private ListenerOwner, private EndpointListStore {
+class Proxy : public RequestHandler,
+              public AdminHandler,
+              private ListenerOwner,
+              private EndpointListStore,
+              private DiscoveryLocator {
  public:
   // Starts to listen, or to take over from the process that listens already, and begins to follow discovery.
   // Throws ConfigError, or boost::system::system_error if it cannot listen.
@@ -89,6 +93,9 @@
   EndpointList ListedEndpoints() const override { return disabled_.ListedEndpoints(); }
   void ApplyHandedOver(const EndpointList& list, Steady::time_point received_at) override;
 
+  std::optional<DiscoveryReload> last_reload() const override { return last_reload_; }
+  void OnPredecessorReload(const DiscoveryReload& reload) override;
+
   void OnDiscoveryList(const EndpointList& list);
   void ApplyEndpointList(const EndpointList& list, EndpointUpdateKind kind);
   AdminResult ApplyDisabledChange(DisabledBackends::ChangeResult result, const EndpointList& changes);
@@ -115,6 +122,7 @@
   EndpointTable endpoints_;
   std::unique_ptr<ClientListener> clients_;  // null until this process accepts clients
   DiscoveryClient discovery_;
+  std::optional<DiscoveryReload> last_reload_;  // of this process, or of its predecessor
   ActionExecutor executor_;
   RequestReceiver receiver_;
   std::unique_ptr<AdminServer> admin_;  // null if no admin address is configured
--- a/tests/proxy/adopted_list_test.cpp
+++ b/tests/proxy/adopted_list_test.cpp
@@ -51,14 +51,6 @@
   WaitableValue<bool> adopted;
 };
 
-ScriptedDiscovery::Script WatchWith(std::string list) {
-  return [list = std::move(list)](Tcp::socket& socket) {
-    ScriptedDiscovery::Open(socket);
-    SendRaw(socket, Chunk(list + "\n"));
-    ReadToEnd(socket);
-  };
-}
-
 struct AdoptedList : ::testing::Test {
   // Starts a client, whose first call discovery answers with `first` once revision 43 has been adopted, and
   // whose second call with `second`.
--- a/tests/proxy/discovery_reload_test.cpp
+++ b/tests/proxy/discovery_reload_test.cpp
@@ -71,14 +71,6 @@
 
 void Reject(Tcp::socket& socket) { SendRaw(socket, kRejection); }
 
-// Opens the watch with `message` and ends it once the client closes it.
-ScriptedDiscovery::Script WatchWith(std::string message) {
-  return [message = std::move(message)](Tcp::socket& socket) {
-    ScriptedDiscovery::Open(socket);
-    SendRaw(socket, Chunk(message + "\n"));
-    ReadToEnd(socket);
-  };
-}
 ScriptedDiscovery::Script Snapshot(std::string list) {
   return [list = std::move(list)](Tcp::socket& socket) {
     SendRaw(socket, OkResponse(list));
--- a/tests/proxy/endpoint_list_test.cpp
+++ b/tests/proxy/endpoint_list_test.cpp
@@ -100,18 +100,13 @@
 TEST(EndpointLists, DisablingABackendDuringAnOutageDoesNotEndTheCallsToDiscovery) {
   Backend one("one"), two("two");
   WaitableValue<bool> rejected;
-  ScriptedDiscovery discovery({[&](Tcp::socket& socket) {
-                                 SendRaw(socket, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
-                                 ReadToEnd(socket);  // up to the proxy's close, when it waits
-                                 rejected.Update([](bool& done) { done = true; });
-                               },
-                               [&](Tcp::socket& socket) {
-                                 ScriptedDiscovery::Open(socket);
-                                 SendRaw(socket, Chunk(List(42, Members(MemberJson("s-1", one.address()),
-                                                                        MemberJson("s-2", two.address()))) +
-                                                       "\n"));
-                                 ReadToEnd(socket);
-                               }});
+  ScriptedDiscovery discovery(
+      {[&](Tcp::socket& socket) {
+         SendRaw(socket, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+         ReadToEnd(socket);  // up to the proxy's close, when it waits
+         rejected.Update([](bool& done) { done = true; });
+       },
+       WatchWith(List(42, Members(MemberJson("s-1", one.address()), MemberJson("s-2", two.address()))))});
   ProxySetup setup(Members(MemberJson("s-1", one.address())));
   setup.config["discovery"] = "127.0.0.1:" + std::to_string(discovery.address().port());
   setup.config["settings"]["registryMode"] = "ask";
--- a/tests/proxy/handover_messages_test.cpp
+++ b/tests/proxy/handover_messages_test.cpp
@@ -9,6 +9,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <string>
 
+#include "proxy/discovery/endpoints.h"
+#include "proxy/handover/discovery_reload_message.h"
+
 namespace copperpoint::testing {
 namespace {
 
@@ -105,5 +108,23 @@
     EXPECT_FALSE(DecodeDescriptorReport(text).has_value()) << text;
 }
 
+TEST(HandoverMessages, DecodesAnEncodedReloadAndNothingElse) {
+  const proxy::DiscoveryReload sent{*proxy::ParseHostPort("[::1]:8500"), proxy::Steady::now()};
+  const auto received = proxy::DecodeDiscoveryReload(proxy::EncodeDiscoveryReload(sent));
+  ASSERT_TRUE(received.has_value());
+  EXPECT_EQ(received->address, sent.address);
+  EXPECT_EQ(received->reloaded_at, sent.reloaded_at);
+  EXPECT_FALSE(DecodeDescriptorReport(proxy::EncodeDiscoveryReload(sent)).has_value())
+      << "to an older version";
+  for (const char* text :
+       {"", "torn", "[]", "{}", R"({"descriptors":4})", R"({"discovery_reload":7})",
+        R"({"discovery_reload":{"address":"127.0.0.1:80"}})", R"({"discovery_reload":{"reloaded_at_ns":5}})",
+        R"({"discovery_reload":{"address":"nowhere","reloaded_at_ns":5}})",
+        R"({"discovery_reload":{"address":80,"reloaded_at_ns":5}})",
+        R"({"discovery_reload":{"address":"127.0.0.1:80","reloaded_at_ns":-5}})",
+        R"({"discovery_reload":{"address":"127.0.0.1:80","reloaded_at_ns":9223372036854775807}})"})
+    EXPECT_FALSE(proxy::DecodeDiscoveryReload(text).has_value()) << text;
+}
+
 }  // namespace
 }  // namespace copperpoint::testing
--- a/tests/proxy/handover_test.cpp
+++ b/tests/proxy/handover_test.cpp
@@ -50,6 +50,9 @@
   void OnPredecessorEndpoints(const ReceivedMessage& message) override {
     events.push_back(RevisionOf(message));
   }
+  void OnPredecessorReloaded(const DiscoveryReload& reload) override {
+    events.push_back("discovery at " + FormatHostPort(reload.address));
+  }
   void OnDescriptorReport(const DescriptorReport& report) override {
     events.push_back("descriptors " + std::to_string(report.descriptors));
   }
@@ -178,6 +181,17 @@
   EXPECT_EQ(predecessor.events, Events{"list 45"});
 }
 
+TEST_F(Handover, AddressOfAReloadReachesTheSuccessorOnceItHasTakenOver) {
+  const DiscoveryReload reload{*ParseHostPort("127.0.0.1:8500"), Steady::now()};
+  const auto server = NewServer();
+  EXPECT_FALSE(server->SendDiscoveryReload(reload)) << "there is no successor";
+  const auto client = NewClient();
+  ASSERT_TRUE(RunUntilEvents(1));
+  EXPECT_TRUE(server->SendDiscoveryReload(reload));
+  ASSERT_TRUE(RunUntilEvents(2));
+  EXPECT_EQ(successor.events.back(), "discovery at 127.0.0.1:8500");
+}
+
 // A successor that is held up does not read: only one list is under way at a time.
 TEST_F(Handover, NoFurtherListIsSentUntilTheSuccessorHasReadTheLast) {
   predecessor.revision = 43;
--- a/tests/proxy/upgrade_endpoints_test.cpp
+++ b/tests/proxy/upgrade_endpoints_test.cpp
@@ -14,6 +14,7 @@
 
 #include "support/child_process.h"
 #include "support/loopback.h"
+#include "support/scripted_discovery.h"
 
 namespace copperpoint::testing {
 namespace {
@@ -59,6 +60,11 @@
     first_discovery.Push(list);
     ASSERT_TRUE(WaitUntilListed(first_calls, "s-9"));
   }
+  void NameDiscoveryInFile(const Tcp::endpoint& discovery) {
+    nlohmann::json config = Configuration();
+    config["discovery"] = AddressText(discovery);
+    ReplaceFile(file, config.dump());
+  }
   // Starts the second process. Its discovery answers nothing, until the test pushes a list.
   void StartNext() {
     next = std::make_unique<ProxyProcess>(Environment(next_calls, next_discovery.address()));
@@ -204,6 +210,57 @@
   ExpectExitAtSigterm(third);
 }
 
+// SIGHUP has moved discovery. The platform starts the next process with the environment of the first one,
+// which names the address that nobody serves any more.
+TEST_P(UpgradeEndpoints, SuccessorFollowsDiscoveryToTheAddressOfAReload) {
+  StartFirst(ListWithDrain());
+  const std::string first_list = List(7, Members(MemberJson("s-3", three.address())));
+  const std::string next_list = List(8, Members(MemberJson("s-1", one.address())));
+  ScriptedDiscovery moved({WatchWith(first_list), WatchWith(next_list)});
+  NameDiscoveryInFile(moved.address());
+  first->Signal(SIGHUP);
+  ASSERT_TRUE(WaitUntilListed(first_calls, "s-3"));
+  StartNext();
+  ASSERT_TRUE(WaitUntilReady(next_calls));
+  ASSERT_TRUE(WaitUntilListed(next_calls, "s-1"));
+  EXPECT_EQ(RespondingBackends(), Names{"one"});
+  ExpectExitAtSigterm(*first);
+  // Only the next process is left to call there, which it does when its watch has fallen silent.
+  ASSERT_TRUE(moved.WaitForCalls(moved.calls.Get().size() + 1));
+  EXPECT_EQ(RespondingBackends(), Names{"one"});
+  ExpectExitAtSigterm(*next);
+}
+
+// The file has been replaced once more since the reload, and only the next process has read it.
+TEST_P(UpgradeEndpoints, SuccessorFollowsAFileThatIsNewerThanTheReload) {
+  StartFirst(ListWithDrain());
+  ScriptedDiscovery moved({WatchWith(List(7, Members(MemberJson("s-3", three.address()))))});
+  ScriptedDiscovery moved_again({WatchWith(List(8, Members(MemberJson("s-1", one.address()))))});
+  NameDiscoveryInFile(moved.address());
+  first->Signal(SIGHUP);
+  ASSERT_TRUE(WaitUntilListed(first_calls, "s-3"));
+  NameDiscoveryInFile(moved_again.address());
+  StartNext();
+  ASSERT_TRUE(WaitUntilReady(next_calls));
+  ASSERT_TRUE(moved_again.WaitForCalls(1));
+  ASSERT_TRUE(WaitUntilListed(next_calls, "s-1"));
+  ExpectExitAtSigterm(*first);
+  EXPECT_EQ(RespondingBackends(), Names{"one"});
+  ExpectExitAtSigterm(*next);
+}
+
+// A first start, and a replacement without a reload, follow the environment, whatever the file says.
+TEST_P(UpgradeEndpoints, SuccessorFollowsItsEnvironmentWithoutAReload) {
+  StartFirst(ListWithDrain());
+  StartNext();
+  ASSERT_TRUE(WaitUntilReady(next_calls));
+  ExpectExitAtSigterm(*first);
+  next_discovery.Push(ListJson(44, false, Members(MemberJson("s-3", three.address()), Marker("s-2"))));
+  ASSERT_TRUE(WaitUntilListed(next_calls, "s-3"));
+  EXPECT_EQ(RespondingBackends(), Names{"three"});
+  ExpectExitAtSigterm(*next);
+}
+
 INSTANTIATE_TEST_SUITE_P(Discovery, UpgradeEndpoints, ::testing::Bool(),
                          [](const auto& info) { return info.param ? "Polled" : "Pushed"; });
 
--- a/tests/support/scripted_discovery.h
+++ b/tests/support/scripted_discovery.h
@@ -65,6 +65,15 @@
   Listener listener_;
 };
 
+// Opens the watch with `message` and ends it once the client closes it.
+inline ScriptedDiscovery::Script WatchWith(std::string message) {
+  return [message = std::move(message)](Tcp::socket& socket) {
+    ScriptedDiscovery::Open(socket);
+    SendRaw(socket, Chunk(message + "\n"));
+    ReadToEnd(socket);
+  };
+}
+
 // A client on its own thread, in the place of the proxy: collects its lists and failures.
 struct WatchingClient {
   explicit WatchingClient(const Tcp::endpoint& address) { options.address = address; }
