--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -141,8 +141,7 @@
   sync_timer_.async_wait([this](const boost::system::error_code& cancelled) {
     if (cancelled) return;
     ScheduleProcessSync();
-    const EndpointList changes = disabled_.ReloadIfChanged();
-    if (!changes.endpoints.empty()) endpoints_.Apply(changes, EndpointUpdateKind::kOperator);
+    ApplyOperatorChanges(disabled_.ReloadIfChanged());
     handover_.SyncWithPeers();
   });
 }
@@ -192,10 +191,14 @@
                                                      const EndpointList& changes) {
   if (result == DisabledBackends::ChangeResult::kUnknownBackend) return AdminResult::kUnknownBackend;
   if (result == DisabledBackends::ChangeResult::kNotStored) return AdminResult::kNotStored;
-  if (!changes.endpoints.empty()) endpoints_.Apply(changes, EndpointUpdateKind::kOperator);
+  ApplyOperatorChanges(changes);
   return AdminResult::kDone;
 }
 
+void Proxy::ApplyOperatorChanges(const EndpointList& changes) {
+  if (!changes.endpoints.empty()) endpoints_.Apply(changes, EndpointUpdateKind::kOperator);
+}
+
 AdminHandler::AdminResult Proxy::Drain() {
   if (!lifecycle_.StartDraining()) return AdminResult::kStopping;
   ApplyDraining();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -99,6 +99,8 @@
   void OnDiscoveryList(const EndpointList& list);
   void ApplyEndpointList(const EndpointList& list, EndpointUpdateKind kind);
   AdminResult ApplyDisabledChange(DisabledBackends::ChangeResult result, const EndpointList& changes);
+  // Applies what an operator has changed, here or at another process of this proxy.
+  void ApplyOperatorChanges(const EndpointList& changes);
   // Passes the lifecycle's draining state to the client connections and the membership.
   void ApplyDraining();
   // Starts the periodic exchange with other processes of this proxy: reads the file of disabled backends, and
